--- /dev/null
+++ b/src/main/java/thistlefall/Gateway.java
@@ -0,0 +1,930 @@
+package thistlefall;
+
+import java.util.*;
+import java.util.stream.*;
+import org.ejml.simple.SimpleMatrix;
+import thistlefall.Ports.*;
+
+/**
+ * All decisions of one gateway: quotas, fair queue, controllers, choice of server, attempts, final answers.
+ * Its types, events and actions stand in {@code Ports.java}. The mechanism is that of the Proteus paper
+ * (see docs/design.md); each departure says at its place what it guards against.
+ */
+public final class Gateway implements Ports.Events {
+    private static final long MS = 1_000_000L, SECOND = 1_000 * MS;
+    private static final double NANO = 1e-9;
+    /** Housekeeping: fine against the aims, coarse against the CPU bill. */
+    private static final long TICK = 10 * MS;
+    /** How often fresh use is pushed, and for how long no call is answered by a counter that is silent. */
+    private static final long PUSH = SECOND / 4, SILENT_AFTER = SECOND / 2;
+    /** Calls to the counter a second at first; their growth, faster by the second, and its step down. */
+    private static final double CALLS_START = 2, CALLS_UP = 0.02, CALLS_MOST_UP = 0.25, CALLS_DOWN = 0.7;
+    /** The operator's limit on concurrency: requests in flight for each listed server, over all gateways. */
+    private static final double OPEN_PER_SERVER = 6;
+    /** The estimator's memory of some 50 intervals, and the bound on its trace in a quiet spell. */
+    private static final double FORGET = 0.98, TRACE = 100;
+    /** Inverse latency is told in aims over latency, this many being 1, to be of one size with the shares. */
+    private static final double INVERSE_UNIT = 10;
+    /** Actuation penalties (the level's loop is the slower), and the least part of each: no class starves. */
+    private static final double Q_SHARE = 0.3, Q_LEVEL = 0.7, MIN_SHARE = 0.02, MIN_LEVEL = 0.25;
+    /** Weight of an answer in a server's averages; memory, in seconds, of these and of the others' use. */
+    private static final double ALPHA = 0.12, ALPHA_ERR = 0.2, FORGIVE_S = 4, OTHERS_S = 3;
+    /** How many servers each of as many gateways as servers looks at for a request; two are the least. */
+    private static final int LOOK = 3;
+    /** Further attempts per first one, how many may be saved up; the usual spans that a first one needs. */
+    private static final double RETRY_RATIO = 0.2, RETRY_MOST = 20, MARGIN = 1.5;
+
+    /** The values of a load report that tell how busy a server is; their life in seconds; how many stay. */
+    private static final Set<String> LOADS = Set.of("waiting", "active", "cpu");
+    private static final int REPORT_S = 1, RECENT = 6;
+    private final Settings cfg;
+    private final Actions out;
+    private final SplittableRandom random;
+    private final long born;
+    private long now, nextControl, answeredAt, tokensAt, slowedAt, sentWorkAt, restUntil;
+    private final Map<String, Job> jobs = new HashMap<>();
+    private final Map<Long, Customer> customers = new LinkedHashMap<>();
+    private final Map<String, Backend> servers = new LinkedHashMap<>();
+    private List<Backend> listed = List.of();
+    private final Map<Integer, Double> kindLatency = new HashMap<>(), zoneErrors = new HashMap<>();
+    private final Backend[] lastHeard = new Backend[RECENT];
+    private final Lane[] lanes;
+    private final Control control;
+    private int inFlight, heardCount;
+    private double retryTokens = RETRY_MOST, virtualTime, sentWork, usualStake, usualLoad;
+    private boolean silent, denied;
+    private double callRate = CALLS_START, callTokens;
+    /** For each plan the units taken and those of them told to the counter, as of late. */
+    private final double[] taken, told;
+    /** Customers with something to push. */
+    private final Set<Customer> active = new LinkedHashSet<>();
+    private final Map<Long, ArrayDeque<Call>> calls = new LinkedHashMap<>();
+
+    /** A gateway that starts now; {@code seed} is its only source of chance. */
+    public Gateway(Settings settings, long seed, long now, Actions actions) {
+        cfg = settings;
+        out = actions;
+        random = new SplittableRandom(seed);
+        born = now;
+        this.now = now;
+        lanes = new Lane[cfg.classes().size()];
+        for (int i = 0; i < lanes.length; i++) { lanes[i] = new Lane(cfg.classes().get(i)); }
+        taken = new double[cfg.plans().size()];
+        told = new double[taken.length];
+        control = new Control();
+        answeredAt = now;
+        tokensAt = now;
+        callTokens = random.nextDouble(CALLS_START);
+        nextControl = now + SECOND;
+        out.timer(0, TICK);
+        if (cfg.limits().askForList()) { out.watchList(); }
+    }
+
+    @Override public void list(long at, ListKind kind, List<Server> entries) {
+        now = at;
+        if (kind == ListKind.FAILED) {
+            out.watchList();
+        } else if (kind != ListKind.DELTA) {
+            List<String> named = entries.stream().map(Server::id).toList();
+            servers.values().stream().filter(b -> !named.contains(b.id)).forEach(b -> b.ready = false);
+        }
+        for (Server entry : entries) {
+            Backend known = servers.get(entry.id());
+            boolean anew = known == null || known.entry.startedAt() != entry.startedAt();
+            if (known != null) { known.ready = false; }
+            Backend backend = anew ? new Backend(entry) : known;
+            servers.put(entry.id(), backend);
+            backend.entry = entry;
+            backend.ready = entry.readiness() == Readiness.READY;
+        }
+        listed = servers.values().stream().filter(b -> b.ready).toList();
+        control.boundLevel();
+        dispatch();
+    }
+
+    @Override public void request(long at, Request request) {
+        now = at;
+        boolean known = request.requestClass() >= 0 && request.requestClass() < lanes.length
+            && request.plan() >= 0 && request.plan() < cfg.plans().size();
+        if (!known) { out.refuse(request.id(), 0); }
+        if (!known || jobs.containsKey(request.id())) { return; }
+        Customer customer = customers.computeIfAbsent(request.customer(), key -> new Customer(key, request));
+        Lane lane = lanes[request.requestClass()];
+        lane.arrivals++;
+        Job job = new Job(request, customer, lane);
+        jobs.put(request.id(), job);
+        if (job.hopeless()) {
+            // Some come with hardly any time left: the next look at the queue would be too late.
+            giveUp(job);
+        } else {
+            customer.admit(job);
+        }
+        dispatch();
+    }
+
+    private void enqueue(Job job) {
+        job.lane.queue.add(job);
+        relieve(job.lane);
+        probe(job);
+    }
+
+    @Override public void attemptEnded(long at, Result result) {
+        now = at;
+        Job job = jobs.get(result.id());
+        if (job == null || job.backend == null) { return; }
+        Backend backend = job.backend;
+        job.backend = null;
+        inFlight--;
+        // A level under one is kept over time: hundreds with one out each may be too many for a small fleet.
+        restUntil = now + (long) (result.took() * Math.max(0, 1 / control.level - 1));
+        backend.ended(job, result);
+        job.lane.observe(job, result);
+        boolean told = cfg.counter().settles() && result.trueUnits() > 0;
+        if (told && result.outcome() == Outcome.OK && job.inQuota) {
+            job.customer.take(result.trueUnits() - job.request.units());
+        }
+        if (!result.outcome().provesNeverRan() && job.mayHaveRunSince == 0) {
+            job.mayHaveRunSince = job.sentAt;
+            job.anchor = backend;
+        }
+        if (result.complete() || job.over) {
+            forget(job);
+        } else {
+            again(job, result.outcome().provesNeverRan());
+        }
+        dispatch();
+    }
+
+    @Override public void streamStarted(long at, String id) { now = at; }
+
+    @Override public void clientGone(long at, String id) {
+        now = at;
+        Job job = jobs.get(id);
+        if (job == null) { return; }
+        job.over = true;
+        if (job.backend == null && !job.asking) {
+            job.lane.queue.remove(job);
+            forget(job);
+        }
+    }
+
+    @Override public void counted(long at, long name, Outcome outcome, double total) {
+        now = at;
+        ArrayDeque<Call> pending = calls.get(name);
+        Call call = pending == null ? null : pending.poll();
+        if (call == null) { return; }
+        if (pending.isEmpty()) { calls.remove(name); }
+        boolean answered = outcome == Outcome.OK;
+        boolean slow = !answered || now - call.at > cfg.counter().timeout() / 3;
+        // A full line outlasts the time-out, and no call is answered: back off at the first long wait.
+        if (slow && now - slowedAt > PUSH) {
+            callRate = Math.max(1, callRate * CALLS_DOWN);
+            slowedAt = now;
+        } else if (!slow && denied) {
+            denied = false;
+            callRate *= 1 + Math.min(CALLS_MOST_UP, CALLS_UP * (now - slowedAt) * NANO);
+        }
+        answeredAt = answered ? now : answeredAt;
+        if (silent != now - answeredAt > SILENT_AFTER) {
+            silent = !silent;
+            out.log(silent ? "counter silent: quotas divided over gateways" : "counter answers again");
+        }
+        call.customer.counted(call, outcome, total);
+        dispatch();
+    }
+
+    /** Takes a call from the budget: the emptier that is, the more must be at stake, in usual stakes. */
+    private boolean mayCall(double stake) {
+        double rate = silent ? 1 : callRate;
+        double most = Math.max(2 * CALLS_START, rate);
+        callTokens = Math.min(most, callTokens + rate * (now - tokensAt) * NANO);
+        tokensAt = now;
+        boolean may = callTokens >= 1 && stake >= 2 * (1 - callTokens / most);
+        callTokens -= may ? 1 : 0;
+        denied |= !may;
+        return may;
+    }
+
+    @Override public void probed(long at, String id, Outcome how, long took, List<Double> report) {
+        now = at;
+        Backend backend = servers.get(id);
+        if (backend == null) { return; }
+        // A server that keeps its load to itself, or does not answer, is not idle.
+        double load = report.isEmpty() ? 1 + 2 * usualLoad : 0;
+        for (int i = 0; i < Math.min(report.size(), cfg.reports().size()); i++) {
+            load += LOADS.contains(cfg.reports().get(i)) ? report.get(i) : 0;
+        }
+        usualLoad += 0.05 * (load - usualLoad);
+        backend.load = load;
+        backend.reported = now;
+        lastHeard[heardCount++ % RECENT] = backend;
+    }
+
+    /** Where own answers come less than once a second from each server, each request probes one by chance. */
+    private void probe(Job job) {
+        boolean rare = sentWork < job.cost() * listed.size();
+        if (rare && cfg.limits().probes() && !cfg.reports().isEmpty()) {
+            out.probe(listed.get(random.nextInt(listed.size())).id);
+        }
+    }
+
+    @Override public void timer(long at, long token) {
+        now = at;
+        out.timer(0, TICK);
+        for (Lane lane : lanes) { expire(lane.queue); }
+        // A host that never ends a call must not cost a request its answer.
+        long due = now - 2 * cfg.counter().timeout();
+        for (ArrayDeque<Call> line : calls.values()) {
+            line.stream().filter(call -> call.at < due).forEach(call -> call.customer.conclude(call, false));
+        }
+        List.copyOf(active).forEach(Customer::push);
+        if (now >= nextControl) {
+            nextControl += SECOND;
+            control.interval();
+        }
+        dispatch();
+    }
+
+    private record Call(Customer customer, long window, double amount, Job job, long at) { }
+
+    /** Spreads numbers that lie close together over all long values. */
+    private static long mix(long z) { return new SplittableRandom(z).nextLong(); }
+
+    /** What this gateway knows of a customer's use. */
+    private final class Customer {
+        private final long key, span, phase;
+        private final Plan plan;
+        private final int gateways, place;
+        private final boolean shared;
+        /** The count of the present window: its number, this gateway's part and the others'. */
+        private long window = Long.MIN_VALUE, refilled, heard, pushAt, usedAt;
+        private double mine, others;
+        /** The quota's store as estimated here; the others' use: its rate, and what was foreseen of it. */
+        private double store, othersRate, foreseen, unpushed, ceiling;
+        private boolean deaf;
+        private int open;
+
+        Customer(long key, Request first) {
+            this.key = key;
+            place = first.plan();
+            plan = cfg.plans().get(place);
+            gateways = Math.max(1, Math.min(first.setSize(), cfg.siblings()));
+            shared = gateways > 1 && cfg.counter().present();
+            store = plan.burst();
+            // In one burst's span a steady customer is given just one burst: the running total alone tells a
+            // gateway that never heard of it. Spans of different customers begin at different moments.
+            double full = plan.rate() > 0 ? plan.burst() / plan.rate() : 1;
+            span = (long) (Math.min(30, Math.max(1, full)) * SECOND);
+            phase = Math.floorMod(mix(key), span);
+            // A restarted gateway cannot know what it spent under the ceiling: that starts with nothing.
+            refilled = born;
+            heard = now - 2 * span;
+            // Pushes are spread in time: all at once they would find the counter's line full.
+            pushAt = now + random.nextLong(PUSH);
+        }
+
+        void refill() {
+            double s = (now - refilled) * NANO;
+            refilled = now;
+            // Totals feed an estimate: between them the others go on as they did; unheard of, it is divided.
+            double others = s * Math.min(plan.rate() * (deaf ? 1 - 1.0 / gateways : 1),
+                deaf ? plan.rate() : othersRate);
+            foreseen += others;
+            store = Math.min(plan.burst(), store + s * plan.rate() - others);
+            ceiling = Math.min(plan.ceilingBurst() / gateways, ceiling + s * plan.ceilingRate() / gateways);
+        }
+
+        /** Decides at once on fresh news; else the units go to the counter first and the total decides. */
+        void admit(Job job) {
+            refill();
+            double units = job.request.units();
+            // The ceiling holds whatever the others do: each gateway keeps to its part of rate and burst.
+            if (plan.ceilingRate() > 0 && ceiling < units) {
+                refuse(job, (units - ceiling) * gateways / plan.ceilingRate());
+                return;
+            }
+            ceiling -= units;
+            take(units);
+            job.taken = true;
+            job.inQuota = true;
+            boolean dear = plan.rate() > 0 && plan.beyondEarns() <= plan.beyondCosts();
+            boolean old = dear && now - heard > span / 4 && shared && !silent;
+            // Scarce calls go where most can be lost and own traffic tells least; repeats follow refusals.
+            double stake = job.lane.spec.worth() * plan.price() * plan.beyondCosts() * units
+                * gateways / cfg.siblings() * (job.request.repeat() ? 0.3 : 1);
+            usualStake += 0.02 * (stake - usualStake);
+            stake /= Math.max(1e-9, usualStake);
+            if (old && now + 2 * cfg.counter().timeout() < job.aimAt() && mayCall(stake)) {
+                job.asking = true;
+                call(job);
+            } else {
+                if (gateways > 1 && now - heard > span) { divide(); }
+                boolean doubtful = deaf && job.request.repeat() && plan.burst() / gateways < units;
+                decide(job, doubtful ? Double.MAX_VALUE : othersRate * PUSH * NANO);
+            }
+        }
+
+        /** Without news the quota is divided; parts under one request would refuse all who come so rarely. */
+        private void divide() {
+            if (!deaf && store > 0) {
+                store = Math.max(store / gateways, Math.min(store, cfg.counter().largest()));
+            }
+            deaf = true;
+        }
+
+        private void decide(Job job, double keptBack) {
+            double units = job.request.units();
+            job.inQuota = plan.rate() <= 0 || store >= keptBack;
+            if (!job.inQuota) { take(-units); }
+            if (job.inQuota || plan.beyondEarns() > plan.beyondCosts()) {
+                enqueue(job);
+            } else {
+                refuse(job, (units - store) / plan.rate());
+            }
+        }
+
+        private void refuse(Job job, double retryAfter) {
+            double most = cfg.limits().retryAfter() ? cfg.limits().maxRetryAfter() : 0;
+            out.refuse(job.request.id(), (long) Math.max(0, Math.min(most, retryAfter * SECOND)));
+            forget(job);
+        }
+
+        void take(double units) {
+            if (plan.rate() > 0) {
+                taken[place] = 0.99 * taken[place] + Math.max(0, units);
+                told[place] *= 0.99;
+                unpushed += units;
+                store -= units;
+                usedAt = now;
+                active.add(this);
+            }
+        }
+
+        /** One call for a customer with fresh use, more often when its store runs low. */
+        void push() {
+            boolean fresh = Math.abs(unpushed) > 1e-6 && now - usedAt < span && shared;
+            if (!fresh) {
+                unpushed = 0;
+                active.remove(this);
+            } else if (now >= pushAt && mayCall(0.25)) {
+                call(null);
+            }
+        }
+
+        private void call(Job job) {
+            long index = Math.floorDiv(now + phase, span);
+            if (window != index) { mine = others = 0; }
+            window = index;
+            double amount = Math.rint(unpushed * 1e6) * 1e-6;
+            told[place] += amount;
+            pushAt = now + (store < plan.burst() / 2 ? PUSH : SECOND);
+            unpushed = 0;
+            long name = mix(mix(key) + index) >>> 1;
+            Call call = new Call(this, window, amount, job, now);
+            calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(call);
+            out.count(name, amount, 2 * span);
+        }
+
+        void counted(Call call, Outcome outcome, double total) {
+            if (outcome.provesNeverRan()) {
+                unpushed += call.amount;
+                told[place] -= call.amount;
+                active.add(this);
+            } else if (call.window == window) {
+                // Without an answer it may have been added; if not, the next total looks like lost counts.
+                mine += call.amount;
+            }
+            refill();
+            if (outcome == Outcome.OK && call.window == window) { learn(call, total); }
+            conclude(call, outcome == Outcome.OK);
+        }
+
+        private void conclude(Call call, boolean answered) {
+            Job job = call.job;
+            if (job == null || !job.asking) { return; }
+            job.asking = false;
+            if (job.over) {
+                forget(job);
+            } else {
+                decide(job, answered ? 0 : othersRate * PUSH * NANO);
+            }
+        }
+
+        private void learn(Call call, double total) {
+            double theirs = total - mine;
+            // Lost counts: what is there now is new since the loss, and tells of the others what it can.
+            if (theirs < -1e-3 || theirs < others - plan.burst() / 2) {
+                mine = call.amount;
+                others = 0;
+                theirs = Math.max(0, total - call.amount);
+            }
+            // Where calls are scarce only a part of the use is told; the others' part is taken to be as ours.
+            double least = 2 * cfg.counter().largest();
+            double part = (Math.max(0, told[place]) + least) / (taken[place] + least);
+            if (now - heard > span) {
+                // The estimate is too old: in one span a full store and this window's total tell more.
+                store = plan.burst() - mine - unpushed;
+                foreseen = 0;
+            }
+            double news = (theirs - others) / Math.min(1, Math.max(0.1, part));
+            others = theirs;
+            deaf = false;
+            long since = Math.max(heard, window * span - phase);
+            double s = Math.max(0.05, (now - since) * NANO);
+            heard = now;
+            double rate = Math.max(0, Math.min(news / s, 2 * plan.rate()));
+            othersRate += (1 - Math.exp(-s / OTHERS_S)) * (rate - othersRate);
+            // What was sent beyond the quota took nothing from the store: it cannot be far below nothing.
+            store = Math.max(Math.min(plan.burst(), store - news + foreseen), -cfg.counter().largest());
+            foreseen = 0;
+        }
+    }
+
+    /** A request taken and not yet finished. */
+    private final class Job {
+        private final Request request;
+        private final Customer customer;
+        private final Lane lane;
+        private final long arrived = now;
+        private final double vAtArrival = virtualTime;
+        private boolean taken, asking, inQuota, open, over;
+        private int attempts;
+        private Backend backend;
+        private long sentAt, mayHaveRunSince;
+        private Backend anchor;
+
+        Job(Request request, Customer customer, Lane lane) {
+            this.request = request;
+            this.customer = customer;
+            this.lane = lane;
+        }
+
+        double worth() {
+            double part = inQuota ? 1 : customer.plan.beyondEarns() - customer.plan.beyondCosts();
+            return lane.spec.worth() * customer.plan.price() * part;
+        }
+
+        long aimAt() { return Math.min(arrived + lane.spec.aim(), request.deadline()); }
+
+        /** Nobody tells how many the others have out: a cap on these is divided, and each may have one. */
+        boolean mayGo() {
+            int most = customer.plan.atOnce();
+            return most <= 0 || customer.open < Math.max(1, most / customer.gateways);
+        }
+
+        /** Too late to be sent for the first time and answered within its aim. */
+        boolean hopeless() {
+            long need = attempts == 0 ? (long) (MARGIN * cost() * SECOND) : 0;
+            return now + Math.max(need, 2 * TICK + cfg.tick()) >= aimAt();
+        }
+
+        double cost() {
+            return lane.service * Math.max(0.3, Math.min(3, request.units() / Math.max(1e-9, lane.units)));
+        }
+    }
+
+    /** A performance class: its queue, its share, its tags, and what the last interval saw of it. */
+    private final class Lane {
+        private final RequestClass spec;
+        private final ArrayDeque<Job> queue = new ArrayDeque<>();
+        private double share, finishTag, service, units = 1, price = 1, latencySum, waitSum;
+        private int arrivals, good;
+        private final List<Double> services = new ArrayList<>();
+
+        Lane(RequestClass spec) {
+            this.spec = spec;
+            service = spec.aim() * NANO / 8;
+        }
+
+        /** Start tag of the head. Computed at release, so that a changed share acts on what is queued too. */
+        double startTag() { return Math.max(first().vAtArrival, finishTag); }
+
+        Job first() { return queue.stream().filter(Job::mayGo).findFirst().orElse(null); }
+
+        void observe(Job job, Result result) {
+            double took = result.took() * NANO;
+            if (result.outcome() == Outcome.OK) {
+                good++;
+                service += 0.02 * (took - service);
+                units += 0.02 * (job.request.units() - units);
+                price += 0.02 * (job.customer.plan.price() * job.request.units() - price);
+                latencySum += (now - job.arrived) * NANO;
+                waitSum += (job.sentAt - job.arrived) * NANO;
+                services.add(took);
+            } else if (result.outcome() != Outcome.CANCELLED && result.outcome() != Outcome.NOT_SENT) {
+                // A failure counts as slow, never as fast: errors must not open the concurrency loop.
+                services.add(Math.max(took, 2 * spec.aim() * NANO));
+            }
+        }
+    }
+
+    /** Answers what has waited too long; a short deadline may stand behind a long one. */
+    private void expire(ArrayDeque<Job> waiting) {
+        if (waiting.isEmpty()) { return; }
+        for (Job job : waiting.stream().filter(Job::hopeless).toList()) {
+            waiting.remove(job);
+            giveUp(job);
+        }
+    }
+
+    /** Refuses the least worth of a queue too long, by Little's law, to be answered within its aim. */
+    private void relieve(Lane lane) {
+        double backlogged = Arrays.stream(lanes).mapToDouble(l -> l.queue.isEmpty() ? 0 : l.share).sum();
+        double rate = control.level / lane.service * lane.share / Math.max(MIN_SHARE, backlogged);
+        double budget = Math.max(lane.spec.aim() * NANO - 2 * lane.service, lane.spec.aim() * NANO / 4);
+        while (inFlight >= control.level && lane.queue.size() > 1 && lane.queue.size() / rate > budget) {
+            Job least = lane.queue.peek();
+            for (Job job : lane.queue) { least = job.worth() <= least.worth() ? job : least; }
+            lane.queue.remove(least);
+            giveUp(least);
+        }
+    }
+
+    /** Releases requests by start tag while fewer than the concurrency level are out. */
+    private void dispatch() {
+        while (inFlight < control.level && now >= restUntil) {
+            Lane next = Arrays.stream(lanes).filter(lane -> lane.first() != null)
+                .min(Comparator.comparingDouble(Lane::startTag)).orElse(null);
+            if (next == null) { return; }
+            Job job = next.first();
+            if (job.hopeless()) {
+                next.queue.remove(job);
+                giveUp(job);
+                continue;
+            }
+            Backend backend = choose(job);
+            if (backend == null) { return; }
+            double start = next.startTag();
+            next.queue.remove(job);
+            virtualTime = start;
+            next.finishTag = start + 1 / next.share;
+            send(job, backend);
+        }
+    }
+
+    /** Recursive least squares with forgetting: y = theta phi, all outputs sharing one covariance. */
+    static final class Rls {
+        private final SimpleMatrix theta;
+        private SimpleMatrix covariance;
+        private int updates;
+
+        Rls(int outputs, int inputs) {
+            theta = new SimpleMatrix(outputs, inputs);
+            covariance = SimpleMatrix.identity(inputs).scale(TRACE / 10);
+        }
+
+        /** Folds one observation in; outputs that are no number keep their parameters. */
+        void update(SimpleMatrix phi, double... y) {
+            SimpleMatrix pPhi = covariance.mult(phi);
+            SimpleMatrix gain = pPhi.divide(FORGET + phi.dot(pPhi));
+            for (int i = 0; i < y.length; i++) {
+                if (!Double.isNaN(y[i])) {
+                    double error = y[i] - predict(phi).get(i);
+                    for (int j = 0; j < theta.getNumCols(); j++) {
+                        theta.set(i, j, theta.get(i, j) + gain.get(j) * error);
+                    }
+                }
+            }
+            covariance = covariance.minus(gain.mult(pPhi.transpose())).divide(FORGET);
+            double bound = TRACE * theta.getNumCols();
+            if (covariance.trace() > bound) { covariance = covariance.scale(bound / covariance.trace()); }
+            updates++;
+        }
+
+        SimpleMatrix predict(SimpleMatrix phi) { return theta.mult(phi); }
+    }
+
+    /** u(k) = (B0'W'WB0 + Q'Q)^-1 (B0'W'W(yref - r) + Q'Q u(k-1)), with W and Q diagonal. */
+    static SimpleMatrix controlLaw(SimpleMatrix b0, SimpleMatrix w, double q, SimpleMatrix yref,
+                                   SimpleMatrix r, SimpleMatrix last) {
+        SimpleMatrix bw = b0.transpose().mult(w.transpose()).mult(w);
+        SimpleMatrix left = bw.mult(b0).plus(SimpleMatrix.identity(last.getNumRows()).scale(q * q));
+        return left.solve(bw.mult(yref.minus(r)).plus(last.scale(q * q)));
+    }
+
+    /** Clips shares to their least and rescales them to sum 1. */
+    static double[] rescale(double[] shares) {
+        double[] kept = Arrays.stream(shares)
+            .map(u -> Double.isFinite(u) ? Math.max(MIN_SHARE, Math.min(1, u)) : MIN_SHARE).toArray();
+        double sum = Arrays.stream(kept).sum();
+        return Arrays.stream(kept).map(u -> u / sum).toArray();
+    }
+
+    private static SimpleMatrix column(double... values) {
+        return new SimpleMatrix(values.length, 1, true, values);
+    }
+
+    /** The share loop, the slower concurrency loop and the optimizer that feeds both. */
+    private final class Control {
+        private final int n = lanes.length;
+        private final Rls shareModel = new Rls(2 * n, 3 * n), levelModel = new Rls(1, 2);
+        private double[] lastY;
+        private double lastInverse, lastLevel, lastChange, scale = 1, level = 1, limit = 1;
+        private boolean bound;
+
+        /** Until fitted, shares follow worth. */
+        Control() {
+            double sum = Math.max(1e-9, Arrays.stream(lanes).mapToDouble(lane -> lane.spec.worth()).sum());
+            setShares(Arrays.stream(lanes).mapToDouble(lane -> lane.spec.worth() / sum).toArray());
+        }
+
+        private void setShares(double[] shares) {
+            double[] kept = rescale(shares);
+            for (int i = 0; i < n; i++) { lanes[i].share = kept[i]; }
+        }
+
+        private double[] shares() { return Arrays.stream(lanes).mapToDouble(lane -> lane.share).toArray(); }
+
+        void boundLevel() {
+            double before = limit;
+            double part = Math.max(MIN_LEVEL, OPEN_PER_SERVER * listed.size() / cfg.siblings());
+            limit = part > 1 ? Math.rint(part) : part;
+            level = levelModel.updates == 0 || level >= before ? limit : Math.min(level, limit);
+        }
+
+        void interval() {
+            double total = Arrays.stream(lanes).mapToInt(lane -> lane.good).sum();
+            scale += 0.2 * (Math.max(1, total) - scale);
+            double[] y = new double[2 * n], seen = new double[2 * n];
+            for (int i = 0; i < n; i++) {
+                Lane lane = lanes[i];
+                boolean live = lane.good > 0;
+                y[i] = lane.good / scale;
+                double inverse = lane.spec.aim() * NANO * lane.good / Math.max(1e-6, lane.latencySum);
+                y[n + i] = live ? Math.min(1, inverse / INVERSE_UNIT) : lastY == null ? 0 : lastY[n + i];
+                seen[i] = live ? y[i] : Double.NaN;
+                seen[n + i] = live ? y[n + i] : Double.NaN;
+            }
+            if (lastY != null && total > 0) { shareModel.update(regressor(lastY, shares()), seen); }
+            lastY = y;
+            if (shareModel.updates >= 3 * n) { steerShares(y, seen); }
+            steerLevel();
+            for (Lane lane : lanes) {
+                lane.arrivals = lane.good = 0;
+                lane.latencySum = lane.waitSum = 0;
+                lane.services.clear();
+            }
+        }
+
+        private SimpleMatrix regressor(double[] y, double[] shares) {
+            double[] phi = Arrays.copyOf(y, 3 * n);
+            System.arraycopy(shares, 0, phi, 2 * n, n);
+            return column(phi);
+        }
+
+        /** Worth a second of class i at what the model y = r + B0 s foresees, late answers at their part. */
+        private double utility(SimpleMatrix r, SimpleMatrix b0, double[] s, int i, double grant) {
+            double[] tried = s.clone();
+            tried[i] += grant;
+            SimpleMatrix x = r.plus(b0.mult(column(tried)));
+            Lane lane = lanes[i];
+            double served = Math.min(Math.max(0, x.get(i)) * scale, lane.arrivals);
+            double late = lane.spec.lateValue();
+            double timely = late + (1 - late) * (1 - Math.exp(-INVERSE_UNIT * Math.max(0, x.get(n + i))));
+            return lane.spec.worth() * lane.price * served * timely;
+        }
+
+        /** The greedy optimizer of the paper's figure 4, for one gateway: the references. */
+        private SimpleMatrix optimize(SimpleMatrix r, SimpleMatrix b0) {
+            double[] s = new double[n], current = new double[n];
+            Arrays.fill(current, Double.NEGATIVE_INFINITY);
+            double step = Math.max(MIN_SHARE, 1 / Math.max(1, scale));
+            for (double given = 0; given < 1 - 1e-9;) {
+                int best = 0;
+                double bestGain = Double.NEGATIVE_INFINITY, bestGrant = step;
+                for (int i = 0; i < n; i++) {
+                    double grant = step;
+                    while (utility(r, b0, s, i, grant) <= current[i] && given + grant <= 1) { grant += step; }
+                    grant = given + grant > 1 ? step : grant;
+                    double gain = (utility(r, b0, s, i, grant) - Math.max(0, current[i])) / grant;
+                    if (gain > bestGain) {
+                        best = i;
+                        bestGain = gain;
+                        bestGrant = grant;
+                    }
+                }
+                s[best] += bestGrant;
+                given += bestGrant;
+                current[best] = utility(r, b0, s, best, 0);
+            }
+            return r.plus(b0.mult(column(rescale(s))));
+        }
+
+        private void steerShares(double[] y, double[] seen) {
+            double[] u = shares();
+            SimpleMatrix b0 = shareModel.theta.cols(2 * n, 3 * n).copy();
+            SimpleMatrix r = shareModel.predict(regressor(y, new double[n]));
+            SimpleMatrix w = new SimpleMatrix(2 * n, 2 * n);
+            double most = Arrays.stream(lanes).mapToDouble(l -> l.spec.worth() * l.price).max().orElse(1);
+            for (int i = 0; i < 2 * n; i++) {
+                if (b0.get(i, i % n) <= 0) {
+                    // Noise, or never varied: until the fit has the known sign, in proportion to the share.
+                    for (int j = 0; j < n; j++) { b0.set(i, j, j == i % n ? y[i] / u[j] : 0); }
+                    r.set(i, 0, 0);
+                }
+                Lane lane = lanes[i % n];
+                double weight = Math.sqrt(lane.spec.worth() * lane.price / Math.max(1e-9, most));
+                w.set(i, i, Double.isNaN(seen[i]) ? 0 : weight);
+            }
+            setShares(controlLaw(b0, w, Q_SHARE, optimize(r, b0), r, column(u)).getDDRM().getData());
+        }
+
+        /** Sets concurrency so that slow answers of the tightest class come within its aim less its wait. */
+        private void steerLevel() {
+            Lane tight = Arrays.stream(lanes).filter(lane -> !lane.services.isEmpty())
+                .min(Comparator.comparingLong(lane -> lane.spec.aim())).orElse(null);
+            if (tight == null) { return; }
+            double[] sorted = tight.services.stream().mapToDouble(x -> x).sorted().toArray();
+            double aim = tight.spec.aim() * NANO;
+            double inverse = aim / sorted[(int) (0.9 * (sorted.length - 1))];
+            double u = level / limit;
+            if (lastInverse > 0 && bound && u != lastLevel) {
+                levelModel.update(column(lastChange, u - lastLevel), inverse - lastInverse);
+            }
+            lastChange = lastInverse > 0 ? inverse - lastInverse : 0;
+            lastLevel = u;
+            double wait = tight.waitSum / Math.max(1, tight.good);
+            // Fitted on changes: an unvaried level tells nothing. Until the fit has the known sign, Little's
+            // law gives the slope: latency in proportion to what is out.
+            double fit = levelModel.theta.cols(1, 2).get(0);
+            SimpleMatrix b0 = column(levelModel.updates >= 3 && fit < 0 ? fit : -inverse / u);
+            SimpleMatrix yref = column(aim / Math.max(aim / 4, aim - wait));
+            SimpleMatrix r = column(inverse - b0.get(0) * u), last = column(u);
+            // A level that did not bind tells nothing; it drifts back to the operator's limit.
+            u = bound ? controlLaw(b0, column(1), Q_LEVEL, yref, r, last).get(0) : (u + 1) / 2;
+            lastInverse = inverse;
+            bound = false;
+            u = Double.isFinite(u) ? Math.max(MIN_LEVEL, Math.min(1, u)) : 1;
+            level = u * limit > 1 ? Math.rint(u * limit) : u * limit;
+        }
+    }
+
+    /** What this gateway knows of a server. */
+    private final class Backend {
+        private final String id;
+        private Server entry;
+        private boolean ready, shunned;
+        private final LinkedHashSet<Job> outstanding = new LinkedHashSet<>();
+        private double latency, errors, load;
+        private long heard = now, coldAt = now, reported = born;
+
+        Backend(Server entry) {
+            id = entry.id();
+            this.entry = entry;
+            latency = kindLatency.getOrDefault(entry.kind(), 1.0);
+            errors = zoneErrors.getOrDefault(entry.zone(), 0.0);
+        }
+
+        boolean cold() { return entry.startedAt() > 0 && now - entry.startedAt() < cfg.rules().coldSpan(); }
+
+        double warmth() {
+            double age = Math.max(0, now - entry.startedAt()) / (double) Math.max(1, cfg.rules().coldSpan());
+            return cfg.rules().coldFrom() + (1 - cfg.rules().coldFrom()) * Math.min(1, age);
+        }
+
+        /** What was not heard of lately is taken to be as its kind and its zone are. */
+        private double lately(double own, double usual) {
+            return usual + (own - usual) * Math.exp(-(now - heard) * NANO / FORGIVE_S);
+        }
+
+        double risk() { return lately(errors, zoneErrors.getOrDefault(entry.zone(), 0.0)); }
+
+        boolean groupedWith(Job job) {
+            Server b = job.anchor.entry;
+            return job.lane.spec.group() == Group.ZONE ? entry.zone() == b.zone() : entry.cell() == b.cell();
+        }
+
+        double score() {
+            double l = lately(latency, kindLatency.getOrDefault(entry.kind(), 1.0));
+            if (!outstanding.isEmpty()) {
+                // An answer overdue tells of trouble before it ends.
+                Job oldest = outstanding.iterator().next();
+                l = Math.max(l, (now - oldest.sentAt) * NANO / oldest.cost() / 2);
+            }
+            double safe = 1 - Math.min(0.97, risk());
+            double weight = cfg.sizesTell() && entry.size() > 0 ? entry.size() : 1;
+            l *= 1 + (load - usualLoad) / (1 + usualLoad) * Math.exp(-(now - reported) * NANO / REPORT_S);
+            double s = l * (1 + outstanding.size() / weight) / (safe * safe);
+            return entry.zone() == cfg.zone() ? s : s * 1.05;
+        }
+
+        void ended(Job job, Result result) {
+            outstanding.remove(job);
+            Outcome o = result.outcome();
+            if (o == Outcome.CANCELLED || o == Outcome.NOT_SENT) { return; }
+            boolean good = o == Outcome.OK;
+            // A fast failure must not look fast.
+            double ratio = Math.min(20, result.took() * NANO / job.cost());
+            ratio = good ? ratio : Math.max(3, ratio);
+            double bad = good ? 0 : o == Outcome.FULL ? 0.5 : 1;
+            // Where one gateway of many hears little of a server, it goes by what it hears of its like.
+            double small = 2 * ALPHA / Math.max(1, listed.size());
+            kindLatency.merge(entry.kind(), ratio, (l, r) -> l + small * (r - l));
+            zoneErrors.merge(entry.zone(), small * bad, (e, x) -> e + small * (bad - e));
+            latency = lately(latency, kindLatency.get(entry.kind()));
+            errors = risk();
+            heard = now;
+            if (good) { lastHeard[heardCount++ % RECENT] = this; }
+            latency += ALPHA * (ratio - latency);
+            errors += (o == Outcome.CONNECT_FAILED ? 1 : good ? ALPHA_ERR : 2 * ALPHA_ERR) * (bad - errors);
+            if (shunned != errors > 0.5) {
+                shunned = !shunned;
+                out.log((shunned ? "server shunned: " : "server back: ") + id + " after " + o);
+            }
+        }
+    }
+
+    /** All that drop a bound request's repeats, else some by chance: ranked alike, few would get all. */
+    private List<Backend> candidates(Job job, boolean bound) {
+        if (bound) { return listed.stream().filter(b -> b.groupedWith(job)).toList(); }
+        int most = Math.max(2, LOOK * listed.size() / cfg.siblings());
+        if (most >= listed.size()) { return listed; }
+        Stream<Backend> chance = random.ints(0, listed.size()).distinct().limit(most).mapToObj(listed::get);
+        return Stream.concat(chance, Arrays.stream(lastHeard).filter(b -> b != null && b.ready)).toList();
+    }
+
+    /** The candidate that should answer soonest; null if none may be used now. */
+    private Backend choose(Job job) {
+        RequestClass spec = job.lane.spec;
+        boolean bound = job.mayHaveRunSince > 0 && spec.repeat() == Repeat.KEYED && spec.group() != Group.ALL;
+        Backend best = null;
+        double bestScore = Double.MAX_VALUE;
+        for (Backend b : candidates(job, bound)) {
+            // Gateways that know as little as each other must not all take the first of a list.
+            double score = b.score() * (1 + 0.1 * random.nextDouble());
+            if (score < bestScore && (!b.cold() || coldRoom(b, job))) {
+                best = b;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    /** By chance: a cold server's part of a warm one's work, from however many gateways, and no burst. */
+    private boolean coldRoom(Backend b, Job job) {
+        double warm = Math.max(1, listed.stream().filter(other -> !other.cold()).count());
+        double work = sentWork / warm * b.warmth() * (now - b.coldAt) * NANO;
+        b.coldAt = now;
+        return random.nextDouble() * job.cost() < work;
+    }
+
+    private void send(Job job, Backend backend) {
+        sentWork = sentWork * Math.exp(-(now - sentWorkAt) * NANO / 4) + job.cost() / 4;
+        sentWorkAt = now;
+        if (job.attempts == 0) { retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_RATIO); }
+        job.customer.open += job.open ? 0 : 1;
+        job.open = true;
+        job.attempts++;
+        job.backend = backend;
+        job.sentAt = now;
+        backend.outstanding.add(job);
+        inFlight++;
+        if (inFlight >= control.level) { control.bound = true; }
+        out.send(job.request.id(), backend.id, patience(job));
+    }
+
+    /** How long to wait: no longer than an answer is worth something. */
+    private long patience(Job job) {
+        long until = job.lane.spec.lateValue() <= 0 ? job.aimAt() : job.request.deadline();
+        return Math.max(MS, until - now);
+    }
+
+    /** After an attempt that did not end the request: another one, or the final answer. */
+    private void again(Job job, boolean neverRan) {
+        RequestClass spec = job.lane.spec;
+        boolean mayRepeat = job.mayHaveRunSince == 0 || spec.repeat() == Repeat.SAFE
+            || spec.repeat() == Repeat.KEYED && now - job.mayHaveRunSince + TICK < spec.keyWindow();
+        boolean inTime = now + (long) (job.lane.service * SECOND / 2) < job.aimAt();
+        double price = neverRan ? 0 : 1;
+        boolean may = mayRepeat && inTime && retryTokens >= price;
+        Backend backend = may && job.attempts < cfg.limits().maxAttempts() ? choose(job) : null;
+        if (backend == null) {
+            giveUp(job);
+        } else {
+            retryTokens -= price;
+            send(job, backend);
+        }
+    }
+
+    /** The one final answer of a request that is not served: refused if that is true, else failed. */
+    private void giveUp(Job job) {
+        RequestClass spec = job.lane.spec;
+        if (job.mayHaveRunSince == 0 || spec.repeat() == Repeat.SAFE
+            || spec.repeat() == Repeat.KEYED && spec.group() == Group.ALL) {
+            out.refuse(job.request.id(), 0);
+        } else {
+            out.fail(job.request.id());
+        }
+        forget(job);
+    }
+
+    /** The end of a request here; what it took is given back if it was never sent. */
+    private void forget(Job job) {
+        jobs.remove(job.request.id());
+        if (job.attempts == 0 && job.taken) {
+            job.customer.ceiling += job.request.units();
+            if (job.inQuota) { job.customer.take(-job.request.units()); }
+        }
+        job.customer.open -= job.open ? 1 : 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/thistlefall/Ports.java
@@ -0,0 +1,250 @@
+package thistlefall;
+
+import java.util.List;
+
+/**
+ * The interface of the decision module {@link Gateway}: the settings it is given, the events its host calls in
+ * and the actions it asks for. Types only; nothing here decides.
+ *
+ * <p>All times are nanoseconds of one clock that never runs backwards; it may start anywhere. Spans are
+ * nanoseconds too. One thread at a time may call an instance, and {@link Actions} are called on that thread,
+ * from within an event. Instances share nothing.
+ */
+public final class Ports {
+    private Ports() {
+    }
+
+    /** How often a request of a class may take effect. */
+    public enum Repeat {
+        /** May be repeated freely. */
+        SAFE,
+        /** Carries a key; a group of servers drops its repeats for a while. */
+        KEYED,
+        /** Must never run twice. */
+        UNSAFE
+    }
+
+    /** The servers that drop repeats of a {@link Repeat#KEYED} request. */
+    public enum Group {
+        /** Every server. */
+        ALL,
+        /** The servers of the zone first sent to. */
+        ZONE,
+        /** The servers of the cell first sent to. */
+        CELL
+    }
+
+    /** How an attempt, a probe or a call to the counter ended. */
+    public enum Outcome {
+        /** Served, or counted. */
+        OK(false),
+        /** The server answered with an error; the request may have run. */
+        ERROR(false),
+        /** Turned away unseen. */
+        FULL(true),
+        /** No answer in time; it may have run, or may have been counted. */
+        TIMEOUT(false),
+        /** No connection in time. */
+        CONNECT_FAILED(true),
+        /** The connection broke; it may have run. */
+        RESET(false),
+        /** Withdrawn; it may have run. */
+        CANCELLED(false),
+        /** Never sent by the host. */
+        NOT_SENT(true);
+
+        private final boolean neverRan;
+
+        Outcome(boolean neverRan) {
+            this.neverRan = neverRan;
+        }
+
+        /** Whether this outcome proves that the attempt had no effect. */
+        public boolean provesNeverRan() {
+            return neverRan;
+        }
+    }
+
+    /** What the list says of a server. */
+    public enum Readiness { GONE, READY, DRAINING }
+
+    /** What a list message holds. */
+    public enum ListKind {
+        /** The whole list. */
+        FULL,
+        /** The whole list as saved before this start; may be old. */
+        CACHED,
+        /** Changed entries only. */
+        DELTA,
+        /** A request to the list failed; the old list stands. */
+        FAILED
+    }
+
+    /**
+     * A class of requests.
+     *
+     * @param aim an answer within this span is worth all
+     * @param deadline how long a client waits over all its tries
+     * @param repeat how it may be repeated
+     * @param group which servers drop repeats, if keyed
+     * @param keyWindow for how long they do, from the first attempt that may have run
+     * @param lateValue the part of the worth that an answer after the aim earns
+     * @param worth the worth of one request
+     */
+    public record RequestClass(long aim, long deadline, Repeat repeat, Group group, long keyWindow,
+                               double lateValue, double worth) {
+    }
+
+    /**
+     * A plan; its figures hold for each customer over all gateways.
+     *
+     * @param rate units a second of the quota; 0 for none
+     * @param burst units the quota's store holds
+     * @param atOnce attempts out at once; 0 for no limit
+     * @param price factor on the worth
+     * @param beyondEarns the part of the worth earned beyond the quota
+     * @param beyondCosts the part of the worth that sending beyond the quota costs
+     * @param ceilingRate units a second of the hard ceiling; 0 for none
+     * @param ceilingBurst units the ceiling's store holds
+     * @param ceilingSlack how far below nothing that store may fall
+     */
+    public record Plan(double rate, double burst, int atOnce, double price, double beyondEarns,
+                       double beyondCosts, double ceilingRate, double ceilingBurst, double ceilingSlack) {
+    }
+
+    /**
+     * What the site allows.
+     *
+     * @param maxAttempts most attempts of one request
+     * @param maxOpen most requests an instance may hold
+     * @param probes whether servers may be probed
+     * @param retryAfter whether clients are told how long to stay away
+     * @param maxRetryAfter the longest that a client heeds
+     * @param askForList whether changes of the list must be subscribed to
+     */
+    public record Limits(int maxAttempts, int maxOpen, boolean probes, boolean retryAfter, long maxRetryAfter,
+                         boolean askForList) {
+    }
+
+    /**
+     * The shared quota counter.
+     *
+     * @param present whether there is one
+     * @param timeout a call without an answer by then ends as {@link Outcome#TIMEOUT}
+     * @param settles whether answers tell the true units
+     * @param largest the largest request, in units
+     */
+    public record Counter(boolean present, long timeout, boolean settles, double largest) {
+    }
+
+    /**
+     * The figures of the rules.
+     *
+     * @param answerSlack how long after the deadline a final answer still counts
+     * @param coldFrom a server starts with this part of its capacity or more
+     * @param coldSpan and is warm after this
+     * @param fallMultiple sent more than this many times its present capacity
+     * @param fallSpan for this long, it falls over
+     */
+    public record Rules(long answerSlack, double coldFrom, long coldSpan, double fallMultiple, long fallSpan) {
+    }
+
+    /**
+     * What an instance is told at its start.
+     *
+     * @param me its number, from 0
+     * @param siblings how many gateways there are
+     * @param zone its zone
+     * @param tick events come at most this often
+     * @param sizesTell whether the sizes in the list mean anything
+     * @param reports the names of the load report's values
+     */
+    public record Settings(int me, int siblings, int zone, long tick, boolean sizesTell, List<String> reports,
+                           List<RequestClass> classes, List<Plan> plans, Limits limits, Counter counter,
+                           Rules rules) {
+    }
+
+    /** An entry of the server list; {@code startedAt} is 0 for a server that started long ago. */
+    public record Server(String id, double size, int zone, int cell, int kind, Readiness readiness,
+                         long startedAt) {
+    }
+
+    /**
+     * A request as it comes in.
+     *
+     * @param deadline the moment at which the client stops waiting for this try
+     * @param units what it takes from the quota, perhaps a guess
+     * @param setSize how many gateways this customer comes through
+     * @param setFirst the first of them
+     * @param repeat whether the client marked it as a repeat
+     */
+    public record Request(String id, int requestClass, int plan, long customer, long deadline, double units,
+                          int setSize, int setFirst, boolean repeat) {
+    }
+
+    /**
+     * The end of an attempt.
+     *
+     * @param took the span since it was sent
+     * @param complete nothing more is owed for the request
+     * @param trueUnits the units that take the place of the guess; 0 if not told
+     * @param report the server's load report; empty if none
+     */
+    public record Result(String id, Outcome outcome, long took, String server, boolean complete, int attempt,
+                         double trueUnits, List<Double> report) {
+    }
+
+    /** What the host calls, in the order in which things happen. */
+    public interface Events {
+        /** The server list, or changes to it. */
+        void list(long now, ListKind kind, List<Server> entries);
+
+        /** A request came in; exactly one final answer is owed. */
+        void request(long now, Request request);
+
+        /** An attempt is over; each attempt ends exactly once. */
+        void attemptEnded(long now, Result result);
+
+        /** The stream of a request began; no deadline binds it any more. */
+        void streamStarted(long now, String id);
+
+        /** The client left; nothing is owed any more. */
+        void clientGone(long now, String id);
+
+        /** A call to the counter ended; calls of one name end in their order. */
+        void counted(long now, long name, Outcome outcome, double total);
+
+        /** A probe ended. */
+        void probed(long now, String server, Outcome outcome, long took, List<Double> report);
+
+        /** A timer came due. */
+        void timer(long now, long token);
+    }
+
+    /** What the module asks of its host; each takes effect at once. */
+    public interface Actions {
+        /** Starts an attempt and gives it up after {@code patience}. */
+        void send(String id, String server, long patience);
+
+        /** Final answer: refused, trying again is harmless; 0 for no advice on when. */
+        void refuse(String id, long retryAfter);
+
+        /** Final answer: failed, with no promise about the effect. */
+        void fail(String id);
+
+        /** Probes a server; only where the settings allow it. */
+        void probe(String server);
+
+        /** Adds to a named count that lives for {@code lifetime} from its first call. */
+        void count(long name, double amount, long lifetime);
+
+        /** Asks for {@link Events#timer} after a span. */
+        void timer(long token, long span);
+
+        /** Subscribes to changes of the server list, where these must be asked for. */
+        void watchList();
+
+        /** A line for the operators. */
+        void log(String text);
+    }
+}
--- /dev/null
+++ b/src/main/java/thistlefall/drill/Drill.java
@@ -0,0 +1,33 @@
+package thistlefall.drill;
+
+import java.io.BufferedReader;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStreamWriter;
+import java.nio.charset.StandardCharsets;
+
+/** The adapter's entry point: plays many gateways on the simulator's wire until its input ends. */
+public final class Drill {
+    private Drill() {
+    }
+
+    /** Runs the drill; the only argument is the word {@code drill}. */
+    public static void main(String[] args) {
+        if (args.length != 1 || !args[0].equals("drill")) {
+            System.err.println("usage: thistlefall.jar drill");
+            System.exit(2);
+        }
+        var in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8), 1 << 16);
+        var out = new BufferedWriter(new OutputStreamWriter(System.out, StandardCharsets.UTF_8), 1 << 16);
+        try {
+            new WireReader(in, new WireWriter(out)).run();
+        } catch (MalformedInput e) {
+            System.err.println(e.getMessage());
+            System.exit(1);
+        } catch (IOException e) {
+            System.err.println("the wire broke: " + e.getMessage());
+            System.exit(1);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/thistlefall/drill/SettingsReader.java
@@ -0,0 +1,97 @@
+package thistlefall.drill;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import thistlefall.Ports.Counter;
+import thistlefall.Ports.Group;
+import thistlefall.Ports.Limits;
+import thistlefall.Ports.Plan;
+import thistlefall.Ports.Repeat;
+import thistlefall.Ports.RequestClass;
+import thistlefall.Ports.Rules;
+import thistlefall.Ports.Settings;
+
+/** Turns the wire's path=value pairs into {@link Settings}; unknown paths are ignored. */
+final class SettingsReader {
+    private final Map<String, String> pairs = new HashMap<>();
+
+    private SettingsReader() {
+    }
+
+    static Settings read(String[] parts, int from) {
+        SettingsReader reader = new SettingsReader();
+        for (int i = from; i < parts.length; i++) {
+            int equals = parts[i].indexOf('=');
+            if (equals < 1) {
+                throw new IllegalArgumentException("'" + parts[i] + "' is not path=value");
+            }
+            reader.pairs.put(parts[i].substring(0, equals), parts[i].substring(equals + 1));
+        }
+        return reader.settings();
+    }
+
+    private Settings settings() {
+        List<RequestClass> classes = new ArrayList<>();
+        for (int i = 0; i < whole("classes.count"); i++) {
+            String at = "classes." + i + ".";
+            classes.add(new RequestClass(whole(at + "aim-ns"), whole(at + "deadline-ns"),
+                switch (text(at + "idempotency")) {
+                    case "retryable" -> Repeat.SAFE;
+                    case "dedup" -> Repeat.KEYED;
+                    default -> Repeat.UNSAFE;
+                },
+                switch (text(at + "group")) {
+                    case "all" -> Group.ALL;
+                    case "zone" -> Group.ZONE;
+                    default -> Group.CELL;
+                },
+                whole(at + "key-ttl-ns"), number(at + "late-value"), number(at + "worth")));
+        }
+        List<Plan> plans = new ArrayList<>();
+        for (int i = 0; i < whole("tariffs.count"); i++) {
+            String at = "tariffs." + i + ".";
+            plans.add(new Plan(number(at + "units-per-s"), number(at + "peak-units"), (int) whole(at + "at-once"),
+                number(at + "price"), number(at + "beyond-earns"), number(at + "beyond-costs"),
+                number(at + "hard-rate"), number(at + "hard-burst"), number(at + "hard-slack")));
+        }
+        String names = text("load-info.names");
+        return new Settings((int) whole("my-number"), (int) Math.max(1, whole("siblings")), (int) whole("my-zone"),
+            whole("tick-ns"), !text("weights").equals("off"),
+            text("load-info.source").equals("off") || names.isEmpty() || names.equals("-")
+                ? List.of() : List.of(names.split(",")),
+            List.copyOf(classes), List.copyOf(plans),
+            new Limits((int) whole("caps.max-attempts"), (int) whole("caps.max-open"), flag("caps.probes"),
+                flag("caps.retry-after"), whole("caps.max-retry-after-ns"),
+                text("discovery").equals("subscribe")),
+            new Counter(flag("domain.has-counter"), whole("domain.count-wait-ns"), flag("domain.trued-up"),
+                number("domain.units-top")),
+            new Rules(whole("rules.answer-slack-ns"), number("rules.cold-from"), whole("rules.ramp-time-ns"),
+                number("rules.overload-factor"), whole("rules.tip-after-ns")));
+    }
+
+    private String text(String path) {
+        return pairs.getOrDefault(path, "");
+    }
+
+    private boolean flag(String path) {
+        return text(path).equals("true") || text(path).equals("1");
+    }
+
+    private long whole(String path) {
+        return Math.round(number(path));
+    }
+
+    private double number(String path) {
+        String value = text(path);
+        if (value.isEmpty() || value.equals("-")) {
+            return 0;
+        }
+        try {
+            return Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException(path + " is not a number");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/thistlefall/Host.java
@@ -0,0 +1,157 @@
+package thistlefall;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import thistlefall.Ports.Actions;
+import thistlefall.Ports.Counter;
+import thistlefall.Ports.Group;
+import thistlefall.Ports.Limits;
+import thistlefall.Ports.ListKind;
+import thistlefall.Ports.Outcome;
+import thistlefall.Ports.Plan;
+import thistlefall.Ports.Readiness;
+import thistlefall.Ports.Repeat;
+import thistlefall.Ports.Request;
+import thistlefall.Ports.RequestClass;
+import thistlefall.Ports.Result;
+import thistlefall.Ports.Rules;
+import thistlefall.Ports.Server;
+import thistlefall.Ports.Settings;
+
+/** A host under the test's control: writes down what one gateway asks for and calls its events. */
+final class Host implements Actions {
+    static final long MS = 1_000_000L;
+    static final int SAFE = 0;
+    static final int KEYED_CELL = 1;
+    static final int UNSAFE = 2;
+    static final int KEYED_ALL = 3;
+    static final Plan FREE = new Plan(0, 0, 0, 1, 0, 0, 0, 0, 0);
+
+    record Sent(String id, String server, long patience) {
+    }
+
+    record Counted(long name, double amount) {
+    }
+
+    final List<Sent> sent = new ArrayList<>();
+    final List<String> refused = new ArrayList<>();
+    final List<String> failed = new ArrayList<>();
+    final List<String> probed = new ArrayList<>();
+    final List<Counted> counted = new ArrayList<>();
+    final List<String> logs = new ArrayList<>();
+    final Gateway gateway;
+    long now = 1_000 * MS;
+    private final int setSize;
+    private final boolean probes;
+    private int ids;
+
+    Host(Plan plan, int siblings, int me) {
+        this(plan, siblings, me, true);
+    }
+
+    Host(Plan plan, int siblings, int me, boolean counter) {
+        this(plan, siblings, me, counter, 7, false);
+    }
+
+    Host(Plan plan, int siblings, int me, boolean counter, long seed, boolean probes) {
+        setSize = siblings;
+        this.probes = probes;
+        gateway = new Gateway(settings(plan, siblings, me, counter, probes), seed, now, this);
+    }
+
+    static Settings settings(Plan plan, int siblings, int me, boolean counter, boolean probes) {
+        return new Settings(me, siblings, 0, MS, true, probes ? List.of("waiting") : List.of(), List.of(
+            new RequestClass(1000 * MS, 3000 * MS, Repeat.SAFE, Group.ALL, 0, 0, 1),
+            new RequestClass(1000 * MS, 2000 * MS, Repeat.KEYED, Group.CELL, 700 * MS, 0.2, 4),
+            new RequestClass(1000 * MS, 3000 * MS, Repeat.UNSAFE, Group.ALL, 0, 0.2, 3),
+            new RequestClass(1000 * MS, 3000 * MS, Repeat.KEYED, Group.ALL, 700 * MS, 0, 4)),
+            List.of(plan), new Limits(4, 1000, probes, false, 0, false),
+            new Counter(counter, 50 * MS, true, 4), new Rules(10 * MS, 0.25, 10_000 * MS, 3, 2_000 * MS));
+    }
+
+    /** Servers a, b, c ... of two cells, ready since long ago. */
+    Host servers(int count) {
+        for (int i = 0; i < count; i++) {
+            server(String.valueOf((char) ('a' + i)), i % 2, Readiness.READY, 0);
+        }
+        return this;
+    }
+
+    void server(String id, int cell, Readiness readiness, long startedAt) {
+        gateway.list(now, ListKind.DELTA, List.of(new Server(id, 1, cell, cell, 0, readiness, startedAt)));
+    }
+
+    String request(int requestClass, double units) {
+        return request(requestClass, 0, 1, units, now + 3000 * MS);
+    }
+
+    String request(int requestClass, int plan, long customer, double units, long deadline) {
+        String id = "r" + ids++;
+        gateway.request(now, new Request(id, requestClass, plan, customer, deadline, units, setSize, 0, false));
+        return id;
+    }
+
+    /** Ends the newest attempt of a request. */
+    void end(String id, Outcome outcome) {
+        end(id, outcome, outcome == Outcome.OK);
+    }
+
+    void end(String id, Outcome outcome, boolean complete) {
+        Sent last = attempts(id).get(attempts(id).size() - 1);
+        gateway.attemptEnded(now, new Result(id, outcome, 20 * MS, last.server(), complete,
+            attempts(id).size() - 1, 0, List.of()));
+    }
+
+    List<Sent> attempts(String id) {
+        return sent.stream().filter(s -> s.id().equals(id)).toList();
+    }
+
+    /** Lets time pass, with the timer as often as it was asked for. */
+    void pass(long span) {
+        for (long until = now + span; now < until;) {
+            now += Math.min(10 * MS, until - now);
+            gateway.timer(now, 0);
+        }
+    }
+
+    @Override
+    public void send(String id, String server, long patience) {
+        sent.add(new Sent(id, server, patience));
+    }
+
+    @Override
+    public void refuse(String id, long retryAfter) {
+        refused.add(id);
+    }
+
+    @Override
+    public void fail(String id) {
+        failed.add(id);
+    }
+
+    @Override
+    public void probe(String server) {
+        assertTrue(probes, "probes are not allowed here");
+        probed.add(server);
+    }
+
+    @Override
+    public void count(long name, double amount, long lifetime) {
+        counted.add(new Counted(name, amount));
+    }
+
+    @Override
+    public void timer(long token, long span) {
+    }
+
+    @Override
+    public void watchList() {
+    }
+
+    @Override
+    public void log(String text) {
+        logs.add(text);
+    }
+}
--- /dev/null
+++ b/src/test/java/thistlefall/RulesTest.java
@@ -0,0 +1,208 @@
+package thistlefall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static thistlefall.Host.KEYED_ALL;
+import static thistlefall.Host.KEYED_CELL;
+import static thistlefall.Host.MS;
+import static thistlefall.Host.SAFE;
+import static thistlefall.Host.UNSAFE;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import thistlefall.Ports.ListKind;
+import thistlefall.Ports.Outcome;
+import thistlefall.Ports.Plan;
+import thistlefall.Ports.Readiness;
+
+/** The five rules at their edges. */
+class RulesTest {
+    private final Host host = new Host(Host.FREE, 3, 0);
+
+    @Test
+    void queuedPastItsTimeIsRefusedBeforeTheDeadline() {
+        String id = host.request(SAFE, 1);
+        assertEquals(List.of(), host.sent);
+        host.pass(1000 * MS);
+        assertEquals(List.of(id), host.refused);
+    }
+
+    @Test
+    void shortDeadlineBehindALongOneIsAnsweredToo() {
+        Host full = new Host(Host.FREE, 1, 0).servers(1);
+        for (int i = 0; i < 6; i++) {
+            full.request(SAFE, 1);
+        }
+        full.request(SAFE, 0, 1, 1, full.now + 3000 * MS);
+        String hurried = full.request(SAFE, 0, 1, 1, full.now + 300 * MS);
+        full.pass(300 * MS);
+        assertEquals(List.of(hurried), full.refused);
+    }
+
+    @Test
+    void arrivingWithNoTimeLeftIsAnsweredAtOnce() {
+        host.servers(1);
+        String id = host.request(SAFE, 0, 1, 1, host.now + MS);
+        assertEquals(List.of(id), host.refused);
+        assertEquals(List.of(), host.sent);
+    }
+
+    @Test
+    void timeOutAtTheDeadlineStillOwesTheAnswer() {
+        host.servers(1);
+        String id = host.request(UNSAFE, 1);
+        host.now += 3000 * MS;
+        host.end(id, Outcome.TIMEOUT, false);
+        assertEquals(List.of(id), host.failed);
+        assertEquals(List.of(), host.refused);
+    }
+
+    @Test
+    void nothingFollowsWhenTheClientIsGone() {
+        host.servers(2);
+        String id = host.request(SAFE, 1);
+        host.gateway.clientGone(host.now, id);
+        host.end(id, Outcome.ERROR, true);
+        host.pass(2000 * MS);
+        assertEquals(1, host.attempts(id).size());
+        assertEquals(List.of(), host.refused);
+        assertEquals(List.of(), host.failed);
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = Outcome.class, names = {"OK"}, mode = EnumSource.Mode.EXCLUDE)
+    void unsafeGoesOutAgainOnlyWhenItNeverRan(Outcome outcome) {
+        host.servers(3);
+        String id = host.request(UNSAFE, 1);
+        host.end(id, outcome, false);
+        if (outcome.provesNeverRan()) {
+            assertEquals(2, host.attempts(id).size());
+        } else {
+            assertEquals(1, host.attempts(id).size());
+            assertEquals(List.of(id), host.failed);
+            assertFalse(host.refused.contains(id));
+        }
+    }
+
+    @Test
+    void keyedStaysInItsCell() {
+        host.servers(4);
+        String id = host.request(KEYED_CELL, 1);
+        host.end(id, Outcome.ERROR, false);
+        List<Host.Sent> attempts = host.attempts(id);
+        assertEquals(2, attempts.size());
+        assertNotEquals(attempts.get(0).server(), attempts.get(1).server());
+        assertEquals(attempts.get(0).server().charAt(0) % 2, attempts.get(1).server().charAt(0) % 2);
+    }
+
+    @Test
+    void keyedIsNotSentAgainAfterItsWindowNorRefused() {
+        host.servers(4);
+        String id = host.request(KEYED_CELL, 1);
+        host.now += 700 * MS;
+        host.end(id, Outcome.TIMEOUT, false);
+        assertEquals(1, host.attempts(id).size());
+        assertEquals(List.of(id), host.failed);
+    }
+
+    @Test
+    void keyedOverAllServersMayBeRefused() {
+        host.servers(4);
+        String id = host.request(KEYED_ALL, 1);
+        host.now += 700 * MS;
+        host.end(id, Outcome.TIMEOUT, false);
+        assertEquals(List.of(id), host.refused);
+    }
+
+    @Test
+    void attemptsOverTheCapWaitAndHoldUpNobodyElse() {
+        Host capped = new Host(new Plan(100, 100, 3, 1, 0, 1, 0, 0, 0), 1, 0).servers(4);
+        for (int i = 0; i < 4; i++) {
+            capped.request(SAFE, 1);
+        }
+        assertEquals(3, capped.sent.size());
+        capped.request(SAFE, 0, 2, 1, capped.now + 3000 * MS);
+        assertEquals("r4", capped.sent.get(3).id());
+        capped.end("r0", Outcome.OK);
+        assertEquals("r3", capped.sent.get(4).id());
+    }
+
+    @Test
+    void drainToldWhileQueuedIsKept() {
+        host.servers(1);
+        host.server("a", 0, Readiness.DRAINING, 0);
+        host.request(SAFE, 1);
+        host.pass(100 * MS);
+        assertEquals(List.of(), host.sent);
+        host.server("a", 0, Readiness.READY, 0);
+        assertEquals(1, host.sent.size());
+    }
+
+    @Test
+    void goneAndBackUnderTheSameIdIsCold() {
+        host.servers(1);
+        host.server("a", 0, Readiness.GONE, 0);
+        host.request(SAFE, 1);
+        assertEquals(List.of(), host.sent);
+        host.server("a", 0, Readiness.READY, host.now);
+        for (int i = 0; i < 20; i++) {
+            host.request(SAFE, 1);
+        }
+        assertTrue(host.sent.size() <= 1, "sent at once to a cold server: " + host.sent.size());
+    }
+
+    @Test
+    void absentFromAFullListIsGone() {
+        host.servers(2);
+        host.gateway.list(host.now, ListKind.FULL, List.of());
+        host.request(SAFE, 1);
+        assertEquals(List.of(), host.sent);
+    }
+
+    @Test
+    void coldServerGetsASmallPart() {
+        host.servers(4);
+        host.server("z", 0, Readiness.READY, host.now);
+        Map<String, Integer> sends = new HashMap<>();
+        for (int i = 0; i < 300; i++) {
+            String id = host.request(SAFE, 1);
+            host.pass(10 * MS);
+            host.end(id, Outcome.OK);
+        }
+        host.sent.forEach(s -> sends.merge(s.server(), 1, Integer::sum));
+        int warm = (300 - sends.getOrDefault("z", 0)) / 4;
+        assertTrue(sends.getOrDefault("z", 0) > 0, "a cold server must warm");
+        assertTrue(sends.get("z") < 0.6 * warm, "cold " + sends.get("z") + " against warm " + warm);
+    }
+
+    @Test
+    void ceilingHoldsForAllGatewaysTogetherWithoutTheCounterAndOverARestart() {
+        Plan plan = new Plan(5, 20, 0, 1, 0, 1, 8, 32, 4);
+        double sent = 0;
+        for (int me = 0; me < 3; me++) {
+            Host one = new Host(plan, 3, me).servers(6);
+            sent += flood(one, 300);
+            // The same number starts again a moment later, with nothing in hand.
+            Host again = new Host(plan, 3, me).servers(6);
+            sent += flood(again, 100);
+        }
+        assertTrue(sent > 0, "something is let in");
+        assertTrue(sent <= 32 + 8 * 4 + 4, "sent " + sent);
+    }
+
+    private static double flood(Host host, int ticks) {
+        for (int i = 0; i < ticks; i++) {
+            int before = host.sent.size();
+            host.pass(10 * MS);
+            host.request(SAFE, 2);
+            host.sent.subList(before, host.sent.size()).stream().toList().forEach(s -> host.end(s.id(), Outcome.OK));
+        }
+        return 2.0 * host.sent.size();
+    }
+}
