--- a/src/main/java/thistlefall/drill/SettingsReader.java
+++ b/src/main/java/thistlefall/SettingsReader.java
@@ -1,4 +1,4 @@
-package thistlefall.drill;
+package thistlefall;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,23 +13,33 @@
 import thistlefall.Ports.Rules;
 import thistlefall.Ports.Settings;
 
-/** Turns the wire's path=value pairs into {@link Settings}; unknown paths are ignored. */
-final class SettingsReader {
-    private final Map<String, String> pairs = new HashMap<>();
+/**
+ * Turns path=value pairs into {@link Settings}; unknown paths are ignored. The simulator's wire and the real
+ * edge node's configuration share it, so that both run the module on the same reading of the same names.
+ */
+public final class SettingsReader {
+    private final Map<String, String> pairs;
 
-    private SettingsReader() {
+    private SettingsReader(Map<String, String> pairs) {
+        this.pairs = pairs;
     }
 
-    static Settings read(String[] parts, int from) {
-        SettingsReader reader = new SettingsReader();
+    /** Reads the pairs that stand on a line of the wire, from part {@code from} on. */
+    public static Settings read(String[] parts, int from) {
+        Map<String, String> pairs = new HashMap<>();
         for (int i = from; i < parts.length; i++) {
             int equals = parts[i].indexOf('=');
             if (equals < 1) {
                 throw new IllegalArgumentException("'" + parts[i] + "' is not path=value");
             }
-            reader.pairs.put(parts[i].substring(0, equals), parts[i].substring(equals + 1));
+            pairs.put(parts[i].substring(0, equals), parts[i].substring(equals + 1));
         }
-        return reader.settings();
+        return read(pairs);
+    }
+
+    /** Reads pairs; a list of objects has its length under {@code .count}, plain values are joined by commas. */
+    public static Settings read(Map<String, String> pairs) {
+        return new SettingsReader(pairs).settings();
     }
 
     private Settings settings() {
--- a/src/main/java/thistlefall/drill/WireReader.java
+++ b/src/main/java/thistlefall/drill/WireReader.java
@@ -13,6 +13,7 @@
 import thistlefall.Ports.Request;
 import thistlefall.Ports.Result;
 import thistlefall.Ports.Server;
+import thistlefall.SettingsReader;
 
 /** Reads batches of the wire, hands each event to the gateway concerned and has the reply written. */
 final class WireReader {
--- /dev/null
+++ b/src/main/java/thistlefall/node/DiscoveryClient.java
@@ -0,0 +1,137 @@
+package thistlefall.node;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import thistlefall.Ports.ListKind;
+
+/** Watches the list of app servers, from the last revision heard on, and again whenever a watch ends. */
+final class DiscoveryClient {
+    /** A line comes every 2 s at least: silence beyond a few of them is a dead connection. */
+    private static final int SILENCE_S = 7;
+    private static final int CONNECT_MS = 1_000, MOST_LINE = 1 << 20;
+    private static final long FIRST_BACKOFF_MS = 100, MOST_BACKOFF_MS = 2_000, PATIENCE_MS = 1_000;
+
+    private final EdgeNode node;
+    private final EventLoop loop;
+    private final Config.Names names;
+    private final InetSocketAddress address;
+    private final Bootstrap bootstrap;
+    private long revision, backoff = FIRST_BACKOFF_MS;
+    private boolean heard;
+
+    DiscoveryClient(EdgeNode node, EventLoop loop, Config config) {
+        this.node = node;
+        this.loop = loop;
+        names = config.names();
+        address = config.discovery();
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+            .handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(new ReadTimeoutHandler(SILENCE_S), new HttpClientCodec(),
+                        new Watch());
+                }
+            });
+    }
+
+    void start(long known) {
+        revision = known;
+        // A discovery that is down must not keep the edge node from serving by the list it has.
+        loop.schedule(() -> heard = true, PATIENCE_MS, TimeUnit.MILLISECONDS);
+        watch();
+    }
+
+    /** Whether a first message has come, or has been waited for long enough. */
+    boolean heard() {
+        return heard;
+    }
+
+    private void watch() {
+        ChannelFuture connecting = bootstrap.connect(address);
+        connecting.channel().closeFuture().addListener(closed -> {
+            loop.schedule(this::watch, backoff, TimeUnit.MILLISECONDS);
+            backoff = Math.min(MOST_BACKOFF_MS, 2 * backoff);
+        });
+    }
+
+    /** One watch: a chunked answer with a JSON object a line. */
+    private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                "/catalog/members?watch=1&after=" + revision);
+            request.headers().set(HttpHeaderNames.HOST, "discovery");
+            context.writeAndFlush(request);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, HttpObject part) throws Exception {
+            if (part.decoderResult().isFailure()
+                || part instanceof HttpResponse response && response.status().code() != 200) {
+                context.close();
+                return;
+            }
+            if (part instanceof HttpContent content) {
+                ByteBuf bytes = content.content();
+                while (bytes.isReadable()) {
+                    int length = bytes.bytesBefore((byte) '\n');
+                    bytes.readBytes(line, length < 0 ? bytes.readableBytes() : length);
+                    if (line.size() > MOST_LINE) {
+                        throw new Config.Invalid("discovery's line is too long");
+                    }
+                    if (length >= 0) {
+                        bytes.skipBytes(1);
+                        String text = line.toString(StandardCharsets.UTF_8);
+                        line.reset();
+                        read(text);
+                    }
+                }
+            }
+            if (part instanceof LastHttpContent) {
+                context.close();
+            }
+        }
+
+        private void read(String text) throws Config.Invalid {
+            if (text.isBlank()) {
+                return;
+            }
+            Config.Roll roll = Config.roll(text, names);
+            node.list(roll, roll.complete() ? ListKind.FULL : ListKind.DELTA);
+            revision = roll.revision();
+            heard = true;
+            backoff = FIRST_BACKOFF_MS;
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            EdgeNode.trouble("discovery", cause);
+            context.close();
+        }
+    }
+}
