--- a/src/main/java/thistlefall/node/Config.java
+++ b/src/main/java/thistlefall/node/Config.java
@@ -9,7 +9,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import thistlefall.Ports.Readiness;
@@ -149,8 +148,7 @@
     private static void flatten(String path, JsonNode node, Map<String, String> into) {
         String key = path.startsWith("settings.") ? path.substring("settings.".length()) : path;
         if (node.isObject()) {
-            for (Iterator<Map.Entry<String, JsonNode>> it = node.fields(); it.hasNext();) {
-                Map.Entry<String, JsonNode> field = it.next();
+            for (Map.Entry<String, JsonNode> field : node.properties()) {
                 flatten(path + "." + field.getKey(), field.getValue(), into);
             }
         } else if (node.isArray()) {
--- a/src/main/java/thistlefall/node/CounterClient.java
+++ b/src/main/java/thistlefall/node/CounterClient.java
@@ -33,15 +33,20 @@
     /** A line with a call unanswered for so many time-outs is taken to lead nowhere and is replaced. */
     private static final int SILENT_TIMEOUTS = 10;
 
-    private final EdgeNode node;
+    /** Hears how calls end. */
+    interface Listener {
+        void counted(long name, Outcome outcome, double total);
+    }
+
+    private final Listener listener;
     private final EventLoop loop;
     private final InetSocketAddress address;
     private final long timeout;
     private final Bootstrap bootstrap;
     private final Line[] lines = new Line[LINES];
 
-    CounterClient(EdgeNode node, EventLoop loop, Config config) {
-        this.node = node;
+    CounterClient(Listener listener, EventLoop loop, Config config) {
+        this.listener = listener;
         this.loop = loop;
         address = config.counter();
         timeout = Math.max(MS, config.settings().counter().timeout());
@@ -75,7 +80,7 @@
         void end(Outcome outcome, double total) {
             if (!over) {
                 over = true;
-                node.counted(name, outcome, total);
+                listener.counted(name, outcome, total);
             }
         }
 
--- a/src/main/java/thistlefall/node/DiscoveryClient.java
+++ b/src/main/java/thistlefall/node/DiscoveryClient.java
@@ -80,6 +80,7 @@
     /** One watch: a chunked answer with a JSON object a line. */
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private boolean ended;
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
@@ -91,8 +92,10 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject part) throws Exception {
-            if (part.decoderResult().isFailure()
-                || part instanceof HttpResponse response && response.status().code() != 200) {
+            // The rest of what was read goes on arriving after a close: the body of an error is no list.
+            ended |= part.decoderResult().isFailure()
+                || part instanceof HttpResponse response && response.status().code() != 200;
+            if (ended) {
                 context.close();
                 return;
             }
--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -47,7 +47,7 @@
     EdgeNode(Config config) {
         this.config = config;
         pool = new ServerPool(this, loop, config);
-        counter = new CounterClient(this, loop, config);
+        counter = new CounterClient(this::counted, loop, config);
         discovery = new DiscoveryClient(this, loop, config);
         clients = new ClientServer(this, loop, config);
     }
@@ -125,11 +125,6 @@
         return discovery.heard();
     }
 
-    /** How many requests are open. */
-    int openCount() {
-        return open.size();
-    }
-
     /** The deadline that the module is told, for a client that waits {@code span} from now. */
     long deadline(long now, long span) {
         return now + Math.max(MS, span - ANSWER_MARGIN);
@@ -178,8 +173,7 @@
         settle(of);
     }
 
-    /** A call to the counter ended. */
-    void counted(long name, Outcome outcome, double total) {
+    private void counted(long name, Outcome outcome, double total) {
         event(null, now -> gateway.counted(now, name, outcome, total));
     }
 
--- /dev/null
+++ b/src/test/java/thistlefall/node/EdgeNodeTest.java
@@ -0,0 +1,366 @@
+package thistlefall.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** An edge node between scripted peers on loopback sockets; each test waits for events, never for a time. */
+@Timeout(120)
+class EdgeNodeTest {
+    private static final String UNCHANGED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
+    private final List<AutoCloseable> toClose = new ArrayList<>();
+    private Peer discovery;
+    private Peer counter;
+    private volatile Peer.Script counting = m -> m.answer(Peer.ok("", "1"));
+
+    @BeforeEach
+    void peers() throws IOException {
+        discovery = peer(m -> m.answer(UNCHANGED));
+        counter = peer(m -> counting.on(m));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        for (int i = toClose.size() - 1; i >= 0; i--) {
+            toClose.get(i).close();
+        }
+    }
+
+    private Peer peer(Peer.Script script) throws IOException {
+        Peer peer = new Peer(script);
+        toClose.add(peer);
+        return peer;
+    }
+
+    private static String member(String id, String address, String phase, long since) {
+        return "{\"id\":\"" + id + "\",\"host_port\":\"" + address + "\",\"locality\":\"a\",\"flavor\":\"m\",\"cell\":1,"
+            + "\"phase\":\"" + phase + "\",\"size\":1.0,\"up_since_ms\":" + since + "}";
+    }
+
+    private String config(String... members) throws IOException {
+        return Files.readString(Path.of("src/test/resources/node.json")).replace("DISCOVERY", discovery.address())
+            .replace("COUNTER", counter.address()).replace("MEMBERS", String.join(",", members));
+    }
+
+    private EdgeNode node(Peer... servers) throws Exception {
+        String[] members = new String[servers.length];
+        for (int i = 0; i < members.length; i++) {
+            members[i] = member("s-" + i, servers[i].address(), "Ready", 0);
+        }
+        return start(config(members));
+    }
+
+    private EdgeNode start(String config) throws Exception {
+        EdgeNode node = new EdgeNode(Config.parse(config));
+        toClose.add(node);
+        node.start();
+        return node;
+    }
+
+    private Socket client(EdgeNode node) throws IOException {
+        InetSocketAddress at = node.address();
+        Socket socket = new Socket(at.getAddress(), at.getPort());
+        socket.setSoTimeout(60_000);
+        toClose.add(socket);
+        return socket;
+    }
+
+    private static Map<String, String> headers(String id, String requestClass, String expires) {
+        Map<String, String> headers = new TreeMap<>(Map.of("Host", "app.svc", "X-Trace-Id", id, "X-Qos", requestClass,
+            "X-Plan", "bulk", "Cookie", "customer=0000000000000007", "X-Expires-In-Ms", expires,
+            "X-Quota", "units=1,spread=1,first=0"));
+        if (requestClass.equals("order")) {
+            headers.put("Idempotency-Key", "key-" + id);
+        }
+        return headers;
+    }
+
+    private static void write(Socket to, String first, Map<String, String> headers, String body) throws IOException {
+        StringBuilder text = new StringBuilder(first).append(" HTTP/1.1\r\n");
+        headers.forEach((name, value) -> text.append(name).append(": ").append(value).append("\r\n"));
+        text.append("Content-Length: ").append(body.length()).append("\r\n\r\n").append(body);
+        to.getOutputStream().write(text.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static void order(Socket to, String id) throws IOException {
+        write(to, "POST /api?slot=4", headers(id, "order", "20000"), "book");
+    }
+
+    private static String status(Peer.Message answer) {
+        assertNotNull(answer, "the connection ended without an answer");
+        return answer.first().split(" ")[1];
+    }
+
+    private static String ask(Socket client, String id) throws IOException {
+        order(client, id);
+        return status(Peer.read(client));
+    }
+
+    @Test
+    void passesARequestOnAndItsAnswerBackOverOneConnection() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("X-Units-Charged: 3\r\n", "done")));
+        Socket client = client(node(server));
+        for (String id : List.of("t-1", "t-2")) {
+            order(client, id);
+            Peer.Message answer = Peer.read(client);
+            assertEquals("200", status(answer));
+            assertEquals("done", answer.body());
+            Peer.Message sent = server.next();
+            assertEquals("POST /api?slot=4 HTTP/1.1", sent.first());
+            assertEquals("book", sent.body());
+            assertEquals(id, sent.headers().get("x-trace-id"));
+            assertEquals("key-" + id, sent.headers().get("idempotency-key"));
+            assertTrue(Long.parseLong(sent.headers().get("x-expires-in-ms")) <= 20_000);
+        }
+        assertTrue(server.ended.isEmpty(), "the second request must not need a second connection");
+    }
+
+    /** A null channel in the connect's listener once failed every first request on a connection. */
+    @Test
+    void theFirstRequestOnANewConnectionIsServed() throws Exception {
+        assertEquals("200", ask(client(node(peer(m -> m.answer(Peer.ok("", "x"))))), "t-1"));
+    }
+
+    @Test
+    void whatIsNoRequestIsTurnedAwayAtOnce() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        EdgeNode node = node(server);
+        Map<String, String> bad = new TreeMap<>(Map.of("X-Trace-Id", "", "X-Qos", "nonsense", "X-Plan", "gold",
+            "Cookie", "customer=zz", "X-Expires-In-Ms", "soon", "X-Quota", "units=NaN,spread=1,first=0",
+            "Idempotency-Key", ""));
+        for (Map.Entry<String, String> one : bad.entrySet()) {
+            Map<String, String> headers = headers("t-1", "order", "20000");
+            headers.put(one.getKey(), one.getValue());
+            Socket client = client(node);
+            write(client, "POST /api", headers, "");
+            assertEquals("400", status(Peer.read(client)), one.getKey());
+        }
+        for (String quota : List.of("units=1,spread=0,first=0", "units=1,spread=1,first=99", "units=-1,spread=1,first=0",
+            "spread=1,first=0", "units=1")) {
+            Map<String, String> headers = headers("t-1", "order", "20000");
+            headers.put("X-Quota", quota);
+            Socket client = client(node);
+            write(client, "POST /api", headers, "");
+            assertEquals("400", status(Peer.read(client)), quota);
+        }
+        Map<String, String> good = headers("t-1", "order", "20000");
+        Socket client = client(node);
+        write(client, "GET /api", good, "");
+        assertEquals("405", status(Peer.read(client)));
+        write(client, "POST /elsewhere", good, "");
+        assertEquals("404", status(Peer.read(client)));
+        write(client, "POST /api", good, "x".repeat(64 * 1024 + 1));
+        assertEquals("413", status(Peer.read(client)));
+        Socket noise = client(node);
+        noise.getOutputStream().write("\u0001noise\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+        assertEquals("400", status(Peer.read(noise)));
+        assertTrue(server.seen.isEmpty(), "none of these may reach an app server");
+    }
+
+    @Test
+    void aSecondRequestOfAnOpenIdIsTurnedAwayAndTheFirstIsServed() throws Exception {
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        Peer server = peer(m -> {
+            go.join();
+            m.answer(Peer.ok("", "x"));
+        });
+        EdgeNode node = node(server);
+        Socket first = client(node);
+        order(first, "t-1");
+        server.next();
+        assertEquals("409", ask(client(node), "t-1"));
+        go.complete(null);
+        assertEquals("200", status(Peer.read(first)));
+    }
+
+    @Test
+    void aTurnedAwayAttemptGoesElsewhereUnseen() throws Exception {
+        Peer full = peer(m -> m.answer("HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"));
+        Peer gone = peer(m -> { });
+        gone.close();
+        Peer good = peer(m -> m.answer(Peer.ok("", "x")));
+        Socket client = client(node(full, gone, good));
+        for (int i = 0; i < 8; i++) {
+            assertEquals("200", ask(client, "t-" + i));
+        }
+    }
+
+    /** An unsafe request that may have run is failed, not refused: a refusal invites the client to repeat it. */
+    @Test
+    void anUnsafeRequestIsSentOnceMoreOnlyIfItNeverRan() throws Exception {
+        for (String answer : List.of("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", "",
+            "HTTP/1.1 200 OK\r\n\r\nno end told")) {
+            Peer server = peer(m -> {
+                m.answer(answer);
+                if (!answer.startsWith("HTTP/1.1 50")) {
+                    m.socket().close();
+                }
+            });
+            Socket client = client(node(server));
+            write(client, "POST /api", headers("t-1", "strict", "20000"), "book");
+            assertEquals("502", status(Peer.read(client)), answer);
+            server.next();
+            assertTrue(server.seen.isEmpty(), "it must have been sent once: " + answer);
+        }
+    }
+
+    /** A server that says nothing: the answer comes before the client's time is up, and the attempt ends. */
+    @Test
+    void silenceIsAnsweredAndItsConnectionClosed() throws Exception {
+        Peer server = peer(m -> { });
+        Socket client = client(node(server));
+        write(client, "POST /api", headers("t-1", "strict", "2500"), "book");
+        assertEquals("502", status(Peer.read(client)));
+        server.next();
+        assertNotNull(server.ended.poll(60, TimeUnit.SECONDS), "the silent connection must be closed");
+    }
+
+    @Test
+    void aDrainAnswersWhatWasTakenAndClosesTheRest() throws Exception {
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        Peer server = peer(m -> {
+            go.join();
+            m.answer(Peer.ok("", "x"));
+        });
+        EdgeNode node = node(server);
+        Socket busy = client(node);
+        order(busy, "t-1");
+        server.next();
+        CompletableFuture<Void> drained = node.drain();
+        // Connections go on coming for a while after SIGTERM, and what they bring is owed an answer.
+        Socket late = client(node);
+        order(late, "t-2");
+        server.next();
+        assertFalse(drained.isDone());
+        go.complete(null);
+        for (Socket client : List.of(busy, late)) {
+            Peer.Message answer = Peer.read(client);
+            assertEquals("200", status(answer));
+            assertEquals("close", answer.headers().get("connection"));
+            assertNull(Peer.read(client));
+        }
+        drained.get(60, TimeUnit.SECONDS);
+        assertThrows(IOException.class, () -> client(node));
+    }
+
+    @Test
+    void aWatchThatEndsGoesOnAfterItsLastRevision() throws Exception {
+        Peer moved = peer(m -> m.answer(Peer.ok("", "new")));
+        Peer old = peer(m -> m.answer(Peer.ok("", "old")));
+        String line = "{\"revision\":8,\"complete\":false,\"members\":["
+            + member("s-0", moved.address(), "Ready", System.currentTimeMillis() - 60_000) + "]}\n";
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        discovery = peer(m -> {
+            if (m.first().contains("after=5")) {
+                go.join();
+                m.answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + Integer.toHexString(line.length()) + "\r\n" + line + "\r\n0\r\n\r\n");
+            }
+        });
+        EdgeNode node = node(old);
+        Socket client = client(node);
+        order(client, "t-1");
+        assertEquals("old", Peer.read(client).body());
+        go.complete(null);
+        assertTrue(discovery.next().first().contains("watch=1&after=5"));
+        assertTrue(discovery.next().first().contains("watch=1&after=8"));
+        // The server has restarted elsewhere: its connection at the old address goes, the new one is used.
+        assertNotNull(old.ended.poll(60, TimeUnit.SECONDS));
+        order(client, "t-2");
+        assertEquals("new", Peer.read(client).body());
+    }
+
+    /** The body of an error once was read as a list, because a close does not stop what was read already. */
+    @Test
+    void anErrorOfDiscoveryIsNoList() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        String list = "{\"revision\":9,\"complete\":true,\"members\":[]}\n";
+        discovery = peer(m -> m.answer("HTTP/1.1 404 No\r\nContent-Length: " + list.length() + "\r\n\r\n" + list));
+        EdgeNode node = node(server);
+        discovery.next();
+        assertTrue(discovery.next().first().contains("after=5"), "the revision of an error's body was taken");
+        assertEquals("200", ask(client(node), "t-1"));
+    }
+
+    /** A late answer belongs to the call that timed out; were it given to the next, totals would shift for good. */
+    @Test
+    void aLateTotalIsSkippedInLine() throws Exception {
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        counting = m -> {
+            if (counter.seen.size() == 1) {
+                go.join();
+                m.answer(Peer.ok("", "77"));
+            } else {
+                m.answer(Peer.ok("", "88"));
+            }
+        };
+        BlockingQueue<String> told = new LinkedBlockingQueue<>();
+        Config config = Config.parse(config().replace("\"count-wait-ns\": 50000000", "\"count-wait-ns\": 2000000000"));
+        try (var group = new CloseableGroup()) {
+            EventLoop loop = group.loops.next();
+            CounterClient client = loop.submit(() -> new CounterClient((name, outcome, total) ->
+                told.add(name + " " + outcome + " " + total), loop, config)).get();
+            loop.execute(() -> client.count(4, 1.5, 4_000_000_000L));
+            assertEquals("4 TIMEOUT 0.0", told.poll(60, TimeUnit.SECONDS));
+            loop.execute(() -> client.count(4, -2.25, 4_000_000_000L));
+            go.complete(null);
+            assertEquals("4 OK 88.0", told.poll(60, TimeUnit.SECONDS));
+        }
+        assertEquals("POST /tally/4?n=1.5&keep_ms=4000 HTTP/1.1", counter.next().first());
+        assertEquals("POST /tally/4?n=-2.25&keep_ms=4000 HTTP/1.1", counter.next().first());
+    }
+
+    private record CloseableGroup(EventLoopGroup loops) implements AutoCloseable {
+        CloseableGroup() {
+            this(new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()));
+        }
+
+        @Override
+        public void close() {
+            loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        }
+    }
+
+    @Test
+    void aMalformedConfigurationNamesItsKey() throws Exception {
+        String good = config();
+        Map<String, String> broken = new TreeMap<>(Map.of(
+            good.replace("\"listen\"", "\"listenx\""), "listen is missing",
+            good.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\""), "listen is not host:port",
+            good.replace("\"my-number\": 0", "\"my-number\": \"x\""), "settings.my-number is not a number",
+            good.replace("\"aim-ns\"", "\"aim\""), "settings.classes.0.aim-ns is missing",
+            good.replace("\"tariffs\"", "\"plans\""), "tariffs is missing", "{", "the configuration is not JSON"));
+        for (Map.Entry<String, String> one : broken.entrySet()) {
+            String said = assertThrows(Config.Invalid.class, () -> Config.parse(one.getKey())).getMessage();
+            assertTrue(said.startsWith(one.getValue()), said);
+            assertFalse(said.contains("\n"), said);
+        }
+    }
+}
