Silent client connections give way to new ones at the bound on descriptors

Seen on reading ClientServer.channelActive: at half of the descriptors the node stopped accepting until a connection ended; clients that connect and say nothing would hold every place for good. Probe: the new test with the old code, 30 silent connections under a limit of 16 descriptors, ends after 60 s without an answer; with the mend the next client is served at once. The oldest connection between requests is now closed.

--- a/src/main/java/thistlefall/node/ClientServer.java
+++ b/src/main/java/thistlefall/node/ClientServer.java
@@ -29,7 +29,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -47,7 +47,7 @@
     private final EdgeNode node;
     private final EventLoop loop;
     private final Config config;
-    private final Set<Session> sessions = new HashSet<>();
+    private final Set<Session> sessions = new LinkedHashSet<>();
     private final int most;
     private Channel listening;
     private boolean draining;
@@ -105,6 +105,21 @@
         finishDrain();
     }
 
+    /**
+     * Ends the oldest connection between requests, which its client can tell from a loss. Without this, clients
+     * that connect and say nothing would hold every place, and nobody else would ever be let in.
+     */
+    private boolean makeRoom(Session newest) {
+        for (Session session : sessions) {
+            if (session != newest && !session.closing && session.current == null && session.waiting.isEmpty()) {
+                session.closing = true;
+                session.channel.close();
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void finishDrain() {
         if (drained != null && sessions.isEmpty()) {
             drained.complete(null);
@@ -235,7 +250,7 @@
         public void channelActive(ChannelHandlerContext context) {
             channel = context.channel();
             sessions.add(this);
-            if (sessions.size() >= most) {
+            if (sessions.size() >= most && !makeRoom(this)) {
                 // At the bound on descriptors newcomers wait in the kernel's line until a connection ends.
                 listening.config().setAutoRead(false);
             }
@@ -326,7 +341,9 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             sessions.remove(this);
-            listening.config().setAutoRead(true);
+            if (drained == null) {
+                listening.config().setAutoRead(true);
+            }
             while (!waiting.isEmpty()) {
                 waiting.poll().release();
             }
--- a/src/test/java/thistlefall/node/EdgeNodeTest.java
+++ b/src/test/java/thistlefall/node/EdgeNodeTest.java
@@ -242,6 +242,18 @@
         assertNotNull(server.ended.poll(60, TimeUnit.SECONDS), "the silent connection must be closed");
     }
 
+    /** Silent connections once could take every place for good. */
+    @Test
+    void silentClientsGiveWayToNewOnes() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        EdgeNode node = start(config(member("s-0", server.address(), "Ready", 0))
+            .replace("\"sockets\": 1024", "\"sockets\": 16"));
+        for (int i = 0; i < 30; i++) {
+            client(node);
+        }
+        assertEquals("200", ask(client(node), "t-1"));
+    }
+
     @Test
     void aDrainAnswersWhatWasTakenAndClosesTheRest() throws Exception {
         CompletableFuture<Void> go = new CompletableFuture<>();
