Connections to app servers are reused only when clean; spoilt answers fail at once

Cause: ServerPool.Connection.channelRead0 gave the connection back to the pool before the rest of what had been read was looked at, so a second copy behind an answer became the next request's. The codec takes a header line without a colon behind its first word ('no colon ...') for a name (HttpObjectDecoder.splitHeader, for responses only). Ruled out by the trace: bad clients' requests let in, lengths shorter than the body.

Now AnswerDecoder tells whether all that came was whole answers, wants an answer to begin as one and a colon behind each name; AnswerHandler tells a spoilt answer by its head (length too large, twice, none, with a transfer coding, 101); a connection rests 10 ms before reuse, closes on idle bytes, and an answer begun must be whole in 250 ms. A time-out and a spoilt answer close the connection before a further attempt goes out. X-Units-Charged is read only within 0 and the largest request.

--- a/src/main/java/thistlefall/node/ServerPool.java
+++ b/src/main/java/thistlefall/node/ServerPool.java
@@ -8,14 +8,12 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
@@ -33,6 +31,10 @@
 final class ServerPool {
     static final int MOST_BODY = 64 * 1024;
     private static final long MS = 1_000_000L, SWEEP = 1_000 * MS;
+    /** A second copy or noise may come right behind an answer: for so long nothing new is written there. */
+    private static final long REST = 10 * MS;
+    /** An answer holds 64 KiB at most: one begun and not whole after so long is spoilt and will not get better. */
+    private static final long ANSWER_SPAN = 250 * MS;
 
     private final EdgeNode node;
     private final EventLoop loop;
@@ -40,6 +42,7 @@
     private final Map<String, Endpoint> endpoints = new HashMap<>();
     private final long idleLimit;
     private final int most;
+    private final double mostUnits;
     private int connections;
 
     ServerPool(EdgeNode node, EventLoop loop, Config config) {
@@ -47,6 +50,7 @@
         this.loop = loop;
         // Well before the app server does: a request written to a connection that it closes ends as a reset.
         idleLimit = config.keepAlive() / 2;
+        mostUnits = config.settings().counter().largest();
         most = Math.max(16, config.sockets() * 3 / 8);
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
@@ -54,8 +58,8 @@
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new HttpClientCodec(),
-                        new HttpObjectAggregator(MOST_BODY), new Connection());
+                    AnswerDecoder decoder = new AnswerDecoder();
+                    channel.pipeline().addLast(decoder, new HttpRequestEncoder(), new Connection(decoder));
                 }
             });
         loop.scheduleAtFixedRate(this::closeIdle, SWEEP, SWEEP, TimeUnit.NANOSECONDS);
@@ -73,6 +77,17 @@
             startedAt = member.server().startedAt();
         }
 
+        /** The connection used last, so that the others may close; if it is too fresh, the one that is least so. */
+        Connection rested() {
+            long due = System.nanoTime() - REST;
+            Connection last = idle.peekFirst();
+            if (last != null && last.idleSince - due <= 0) {
+                return idle.pollFirst();
+            }
+            Connection first = idle.peekLast();
+            return first != null && first.idleSince - due <= 0 ? idle.pollLast() : null;
+        }
+
         void retire() {
             retired = true;
             while (!idle.isEmpty()) {
@@ -119,7 +134,7 @@
             return;
         }
         attempt.expiry = loop.schedule(attempt::expire, patience, TimeUnit.NANOSECONDS);
-        Connection ready = endpoint.idle.poll();
+        Connection ready = endpoint.rested();
         if (ready != null) {
             ready.write(attempt);
             return;
@@ -128,7 +143,8 @@
         ChannelFuture connecting = bootstrap.connect(endpoint.address);
         connecting.channel().closeFuture().addListener(closed -> connections--);
         connecting.addListener(done -> {
-            if (!done.isSuccess()) {
+            if (!done.isSuccess() || endpoint.retired) {
+                connecting.channel().close();
                 attempt.end(Outcome.CONNECT_FAILED, 0, null);
                 return;
             }
@@ -183,11 +199,10 @@
         }
 
         void expire() {
-            Connection used = on;
-            end(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, 0, null);
-            if (used != null) {
-                used.channel.close();
+            if (on != null) {
+                on.channel.close();
             }
+            end(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, 0, null);
         }
 
         void end(Outcome outcome, double units, ByteBuf body) {
@@ -220,11 +235,19 @@
     }
 
     /** A connection to an app server. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Connection extends AnswerHandler {
+        private final AnswerDecoder decoder;
         private Channel channel;
         private Endpoint endpoint;
         private Attempt attempt;
+        private boolean reusable;
         private long idleSince;
+        private Future<?> unfinished;
+
+        Connection(AnswerDecoder decoder) {
+            super(MOST_BODY);
+            this.decoder = decoder;
+        }
 
         /** Not in channelActive: a connect's listeners hear of it before the handlers do. */
         @Override
@@ -242,8 +265,8 @@
             channel.writeAndFlush(next.message()).addListener(done -> {
                 next.written = done.isSuccess();
                 if (!done.isSuccess()) {
-                    next.broke();
                     channel.close();
+                    next.broke();
                 }
             });
         }
@@ -258,30 +281,52 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
-            int status = answer.status().code();
-            if (status >= 100 && status < 200 && answer.decoderResult().isSuccess()) {
-                return;
-            }
-            Attempt answered = attempt;
-            // An answer that only the connection's end closes: without a length that is no sign it is whole.
-            boolean framed = channel.isActive();
-            if (answered == null || !answered.written || answer.decoderResult().isFailure() || !framed) {
-                context.close();
-                return;
-            }
-            Outcome outcome = outcome(answer, status);
+        boolean expectsAnswer() {
+            return attempt != null && attempt.written;
+        }
+
+        @Override
+        void answered(HttpResponse answer, ByteBuf body) {
+            Attempt of = attempt;
             attempt = null;
-            answered.on = null;
-            if (HttpUtil.isKeepAlive(answer)) {
+            of.on = null;
+            reusable = HttpUtil.isKeepAlive(answer);
+            if (!reusable) {
+                channel.close();
+            }
+            Outcome outcome = outcome(answer);
+            of.end(outcome, outcome == Outcome.OK ? units(answer) : 0, body);
+        }
+
+        /**
+         * Only here, when all that was read has been looked at, is it known whether the connection is clean: what
+         * stands behind an answer would be taken for the next request's, which loses that one.
+         */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            boolean clean = decoder.isBetween();
+            if (attempt != null) {
+                awaitRest(!clean);
+            } else if (!clean) {
+                channel.close();
+            } else if (reusable) {
+                reusable = false;
+                awaitRest(false);
                 release();
-            } else {
-                context.close();
             }
-            answered.end(outcome, outcome == Outcome.OK ? units(answer) : 0, answer.content());
         }
 
-        private Outcome outcome(FullHttpResponse answer, int status) {
+        private void awaitRest(boolean begun) {
+            if (begun && unfinished == null) {
+                unfinished = loop.schedule(() -> spoilt(), ANSWER_SPAN, TimeUnit.NANOSECONDS);
+            } else if (!begun && unfinished != null) {
+                unfinished.cancel(false);
+                unfinished = null;
+            }
+        }
+
+        private Outcome outcome(HttpResponse answer) {
+            int status = answer.status().code();
             if (status == 200) {
                 return Outcome.OK;
             }
@@ -289,30 +334,24 @@
             return neverRan ? Outcome.FULL : Outcome.ERROR;
         }
 
-        private double units(FullHttpResponse answer) {
-            String charged = answer.headers().get("X-Units-Charged");
-            try {
-                double units = charged == null ? 0 : Double.parseDouble(charged);
-                return Double.isFinite(units) && units > 0 ? units : 0;
-            } catch (NumberFormatException e) {
-                return 0;
-            }
+        /** A figure that cannot be read, or more than a request may count, is as good as none. */
+        private double units(HttpResponse answer) {
+            double units = Figures.amount(answer.headers().get("X-Units-Charged"), mostUnits);
+            return Double.isNaN(units) ? 0 : units;
         }
 
+        /** The connection's end, or the end of its use. */
         @Override
-        public void channelInactive(ChannelHandlerContext context) {
+        void spoilt() {
+            awaitRest(false);
             if (endpoint != null) {
                 endpoint.idle.remove(this);
             }
+            // The close comes first: a further attempt must not meet this one on an open connection.
+            channel.close();
             if (attempt != null) {
                 attempt.broke();
             }
         }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            // A broken connection or an answer that cannot be read; the close tells the attempt.
-            context.close();
-        }
     }
 }
--- /dev/null
+++ b/src/test/java/thistlefall/node/SpoiltAnswerTest.java
@@ -0,0 +1,102 @@
+package thistlefall.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** App servers whose answers are spoilt, or bring more than belongs to them. */
+@Timeout(120)
+class SpoiltAnswerTest extends Stage {
+    /** What stood behind an answer was once taken for the next request's answer, because the pool had it by then. */
+    @Test
+    void whatStandsBehindAnAnswerIsNobodysAnswer() throws Exception {
+        for (String behind : List.of("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", "HTTP/1.1 200 O", "\r\n",
+            "noise", "HTTP/1.1 100 Continue\r\n\r\n")) {
+            Peer server = peer(m -> m.answer(Peer.ok("", m.headers().get("x-trace-id")) + behind));
+            Socket client = client(node(server));
+            for (String id : List.of("t-1", "t-2", "t-3")) {
+                order(client, id);
+                Peer.Message answer = Peer.read(client);
+                assertEquals("200", status(answer), behind);
+                assertEquals(id, answer.body(), behind);
+                assertNotNull(server.ended.poll(60, TimeUnit.SECONDS), "a connection that is not clean must go");
+            }
+        }
+    }
+
+    @Test
+    void bytesOnAnIdleConnectionCloseIt() throws Exception {
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        Peer server = peer(m -> {
+            m.answer(Peer.ok("", "x"));
+            go.join();
+            m.answer("H");
+        });
+        assertEquals("200", ask(client(node(server)), "t-1"));
+        go.complete(null);
+        assertNotNull(server.ended.poll(60, TimeUnit.SECONDS), "bytes that belong to no request were kept");
+    }
+
+    /** The connection stays open: to wait for more would take all of the request's time. */
+    @Test
+    void aSpoiltAnswerIsAFailedAttemptAtOnce() throws Exception {
+        for (String spoilt : List.of("noise", "\u0001\u0002", "\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nhalf",
+            "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nhalf",
+            "HTTP/1.1 200 OK\r\n\r\nno end told",
+            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\nhalf",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+            "HTTP/1.1 200 OK\r\nnoise\r\n\r\n", "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 4\r\n\r\nhalf",
+            "HTTP/1.1 2x0 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Open: end",
+            "HTTP/1.1 101 Switching\r\nUpgrade: h2c\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Long: " + "x".repeat(20_000))) {
+            Peer[] server = new Peer[1];
+            server[0] = peer(m -> m.answer(server[0].seen.size() == 1 ? spoilt : Peer.ok("", "good")));
+            Socket client = client(node(server[0]));
+            client.setSoTimeout(9_000);
+            order(client, "t-1");
+            Peer.Message answer = Peer.read(client);
+            assertEquals("200", status(answer), spoilt);
+            assertEquals("good", answer.body(), spoilt);
+            // It may have run: a request that must not run twice is not sent again.
+            Peer strict = peer(m -> m.answer(spoilt));
+            Socket other = client(node(strict));
+            write(other, "POST /api", headers("t-2", "strict", "20000"), "book");
+            assertEquals("502", status(Peer.read(other)), spoilt);
+            strict.next();
+            assertTrue(strict.seen.isEmpty(), "it must have been sent once: " + spoilt);
+        }
+    }
+
+    @Test
+    void whatComesAheadOfAnAnswerIsPassedOver() throws Exception {
+        Peer server = peer(m -> m.answer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: </x>\r\n\r\n"
+            + Peer.ok("X-Units-Charged: 1e99\r\nEndpoint-Load-Metrics: nonsense\r\n", "good")));
+        Socket client = client(node(server));
+        for (String id : List.of("t-1", "t-2")) {
+            order(client, id);
+            assertEquals("good", Peer.read(client).body());
+        }
+    }
+
+    @Test
+    void onlyPlainFiguresWithinBoundsCount() {
+        assertEquals(3, Figures.amount("3", 8));
+        assertEquals(2.5, Figures.amount("2.5", 8));
+        for (String bad : List.of("", "0", "-1", "8.1", "1d", "0x1p1", "NaN", "Infinity", "1e9", "+1", "1.2.3", " 1", "\u0661")) {
+            assertTrue(Double.isNaN(Figures.amount(bad, 8)), bad);
+        }
+        assertTrue(Double.isNaN(Figures.amount(null, 8)));
+        assertEquals(-1.5e7, Figures.number("-1.5e7"));
+        for (String bad : List.of("1d", "0x1p1", "NaN", "1e999", "e", "")) {
+            assertTrue(Double.isNaN(Figures.number(bad)), bad);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/thistlefall/node/Stage.java
@@ -0,0 +1,110 @@
+package thistlefall.node;
+
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+
+/** What the tests of a node share: scripted peers on loopback sockets, a node between them, and its clients. */
+@Timeout(120)
+abstract class Stage {
+    static final String UNCHANGED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
+    final List<AutoCloseable> toClose = new ArrayList<>();
+    Peer discovery;
+    Peer counter;
+    volatile Peer.Script counting = m -> m.answer(Peer.ok("", "1"));
+
+    @BeforeEach
+    void peers() throws IOException {
+        discovery = peer(m -> m.answer(UNCHANGED));
+        counter = peer(m -> counting.on(m));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        for (int i = toClose.size() - 1; i >= 0; i--) {
+            toClose.get(i).close();
+        }
+    }
+
+    Peer peer(Peer.Script script) throws IOException {
+        Peer peer = new Peer(script);
+        toClose.add(peer);
+        return peer;
+    }
+
+    static String member(String id, String address, String phase, long since) {
+        return "{\"id\":\"" + id + "\",\"host_port\":\"" + address + "\",\"locality\":\"a\",\"flavor\":\"m\",\"cell\":1,"
+            + "\"phase\":\"" + phase + "\",\"size\":1.0,\"up_since_ms\":" + since + "}";
+    }
+
+    String config(String... members) throws IOException {
+        return Files.readString(Path.of("src/test/resources/node.json")).replace("DISCOVERY", discovery.address())
+            .replace("COUNTER", counter.address()).replace("MEMBERS", String.join(",", members));
+    }
+
+    EdgeNode node(Peer... servers) throws Exception {
+        String[] members = new String[servers.length];
+        for (int i = 0; i < members.length; i++) {
+            members[i] = member("s-" + i, servers[i].address(), "Ready", 0);
+        }
+        return start(config(members));
+    }
+
+    EdgeNode start(String config) throws Exception {
+        EdgeNode node = new EdgeNode(Config.parse(config));
+        toClose.add(node);
+        node.start();
+        return node;
+    }
+
+    Socket client(EdgeNode node) throws IOException {
+        InetSocketAddress at = node.address();
+        Socket socket = new Socket(at.getAddress(), at.getPort());
+        socket.setSoTimeout(60_000);
+        toClose.add(socket);
+        return socket;
+    }
+
+    static Map<String, String> headers(String id, String requestClass, String expires) {
+        Map<String, String> headers = new TreeMap<>(Map.of("Host", "app.svc", "X-Trace-Id", id, "X-Qos", requestClass,
+            "X-Plan", "bulk", "Cookie", "customer=0000000000000007", "X-Expires-In-Ms", expires,
+            "X-Quota", "units=1,spread=1,first=0"));
+        if (requestClass.equals("order")) {
+            headers.put("Idempotency-Key", "key-" + id);
+        }
+        return headers;
+    }
+
+    static void write(Socket to, String first, Map<String, String> headers, String body) throws IOException {
+        StringBuilder text = new StringBuilder(first).append(" HTTP/1.1\r\n");
+        headers.forEach((name, value) -> text.append(name).append(": ").append(value).append("\r\n"));
+        text.append("Content-Length: ").append(body.length()).append("\r\n\r\n").append(body);
+        to.getOutputStream().write(text.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    static void order(Socket to, String id) throws IOException {
+        write(to, "POST /api?slot=4", headers(id, "order", "20000"), "book");
+    }
+
+    static String status(Peer.Message answer) {
+        assertNotNull(answer, "the connection ended without an answer");
+        return answer.first().split(" ")[1];
+    }
+
+    static String ask(Socket client, String id) throws IOException {
+        order(client, id);
+        return status(Peer.read(client));
+    }
+}
