SIGHUP moves discovery and counter; the counter's lines are replaced after a spoilt answer

On reading, CounterClient.channelRead0 went on with a line whose answer could not be read, did not look at decoderResult, and took '1d' and hex for totals; a full line told a newcomer's end before those of earlier calls of the same name, which the module then took for theirs.

Now Main handles the signal and reads the file again; a bad file costs one line. Discovery is watched at the new address from the last revision on, and the list stays until that watch speaks. The counter's calls go to the new address, but none of a place is written while an earlier one is out on the old line, so that a name's calls end in their order; the old line closes with its last call. An answer that cannot be read ends its call as one that may have been added and replaces the line; so does a full line, whose calls end in order. Calls not yet written when a line breaks go to the next one. The compiler's word on sun.misc.Signal cannot be turned off (tried: SuppressWarnings, the hidden lint control).

--- a/src/main/java/thistlefall/node/CounterClient.java
+++ b/src/main/java/thistlefall/node/CounterClient.java
@@ -1,20 +1,19 @@
 package thistlefall.node;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.math.BigDecimal;
 import java.net.InetSocketAddress;
@@ -24,11 +23,11 @@
 import thistlefall.Ports.Outcome;
 
 /**
- * Calls to the shared counter, written one behind another on a few connections. A name always goes by the same
- * one, so that the calls of a name are counted, and told to the module, in their order.
+ * Calls to the shared counter, written one behind another on a few connections. A name always has the same place
+ * among these, so that the calls of a name are counted, and told to the module, in their order.
  */
 final class CounterClient {
-    private static final int LINES = 4, MOST_PENDING = 256, MOST_ANSWER = 1024;
+    private static final int PLACES = 4, MOST_PENDING = 256, MOST_ANSWER = 1024;
     private static final long MS = 1_000_000L;
     /** A line with a call unanswered for so many time-outs is taken to lead nowhere and is replaced. */
     private static final int SILENT_TIMEOUTS = 10;
@@ -40,10 +39,10 @@
 
     private final Listener listener;
     private final EventLoop loop;
-    private final InetSocketAddress address;
     private final long timeout;
     private final Bootstrap bootstrap;
-    private final Line[] lines = new Line[LINES];
+    private final Place[] places = new Place[PLACES];
+    private InetSocketAddress address;
 
     CounterClient(Listener listener, EventLoop loop, Config config) {
         this.listener = listener;
@@ -53,25 +52,36 @@
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, config.connectTimeout() / MS));
+        for (int i = 0; i < PLACES; i++) {
+            places[i] = new Place();
+        }
     }
 
     /** Adds to a named number; the outcome is told later, never from within this call. */
     void count(long name, double amount, long lifetime) {
-        int at = (int) Long.remainderUnsigned(name, LINES);
-        if (lines[at] == null) {
-            lines[at] = new Line(at);
-            lines[at].connect();
+        places[(int) Long.remainderUnsigned(name, PLACES)].add(name, amount, lifetime);
+    }
+
+    /** From now on calls go elsewhere; what was written to the old address may still be answered there. */
+    void move(InetSocketAddress to) {
+        if (!to.equals(address)) {
+            address = to;
+            for (Place place : places) {
+                place.renew();
+            }
         }
-        lines[at].add(new Call(name, amount, lifetime));
     }
 
     /** One call; it ends exactly once, though its answer may still be on its way and has its place in line. */
     private final class Call {
+        private final Place place;
         private final long name, at = System.nanoTime();
         private final String uri;
+        private Line line;
         private boolean written, over;
 
-        Call(long name, double amount, long lifetime) {
+        Call(Place place, long name, double amount, long lifetime) {
+            this.place = place;
             this.name = name;
             uri = "/tally/" + Long.toUnsignedString(name) + "?n=" + BigDecimal.valueOf(amount).toPlainString()
                 + "&keep_ms=" + Math.max(1, (lifetime + MS - 1) / MS);
@@ -88,82 +98,122 @@
         void broke() {
             end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, 0);
         }
+
+        void expire() {
+            if (over) {
+                return;
+            }
+            place.waiting.remove(this);
+            end(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, 0);
+            if (line != null) {
+                line.expired(this);
+            }
+        }
     }
 
-    /** A connection with its calls in the order in which they are answered. */
-    private final class Line extends SimpleChannelInboundHandler<FullHttpResponse> {
-        private final int place;
-        private final ArrayDeque<Call> waiting = new ArrayDeque<>(), pending = new ArrayDeque<>();
-        private Channel channel;
-        private boolean flushing, dead;
+    /** The calls of a part of the names, and the line they go by. */
+    private final class Place {
+        private final ArrayDeque<Call> waiting = new ArrayDeque<>();
+        private Line line;
+        private Call last;
+        private boolean flushing;
 
-        Line(int place) {
-            this.place = place;
+        void add(long name, double amount, long lifetime) {
+            if (line != null && waiting.size() + line.pending.size() >= MOST_PENDING) {
+                // No answers for so long: all end here, in their order, and the call at hand has a new line.
+                line.die();
+            }
+            if (line == null) {
+                line = new Line(this);
+            }
+            Call call = new Call(this, name, amount, lifetime);
+            waiting.add(call);
+            loop.schedule(call::expire, timeout, TimeUnit.NANOSECONDS);
+            if (!flushing) {
+                // All calls of one turn of the loop go out together.
+                flushing = true;
+                loop.execute(() -> {
+                    flushing = false;
+                    write();
+                });
+            }
+        }
+
+        void renew() {
+            if (line != null) {
+                Line old = line;
+                line = new Line(this);
+                old.closeIfDone();
+            }
+        }
+
+        /** Calls end in their order, so none is written while an earlier one is out on another line. */
+        void write() {
+            if (line == null || !line.channel.isActive() || last != null && !last.over && last.line != line) {
+                return;
+            }
+            while (!waiting.isEmpty()) {
+                last = waiting.poll();
+                line.write(last);
+            }
+            line.channel.flush();
         }
+    }
 
-        void connect() {
+    /** A connection with its calls in the order in which they are answered. */
+    private final class Line extends AnswerHandler {
+        private final Place place;
+        private final ArrayDeque<Call> pending = new ArrayDeque<>();
+        private final AnswerDecoder decoder = new AnswerDecoder();
+        private final Channel channel;
+        private boolean connected, dead;
+
+        Line(Place place) {
+            super(MOST_ANSWER);
+            this.place = place;
             ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel made) {
-                    made.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_ANSWER),
-                        Line.this);
+                    made.pipeline().addLast(decoder, new HttpRequestEncoder(), Line.this);
                 }
             }).connect(address);
             channel = connecting.channel();
             connecting.addListener(done -> {
                 if (done.isSuccess()) {
-                    writeWaiting();
+                    connected = true;
+                    place.write();
                 } else {
                     die();
                 }
             });
         }
 
-        void add(Call call) {
-            if (waiting.size() + pending.size() >= MOST_PENDING) {
-                loop.execute(() -> call.end(Outcome.NOT_SENT, 0));
-                return;
-            }
-            waiting.add(call);
-            loop.schedule(() -> expire(call), timeout, TimeUnit.NANOSECONDS);
-            if (!flushing) {
-                // All calls of one turn of the loop go out together.
-                flushing = true;
-                loop.execute(() -> {
-                    flushing = false;
-                    writeWaiting();
-                });
-            }
+        void write(Call call) {
+            call.line = this;
+            pending.add(call);
+            DefaultFullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
+                call.uri);
+            message.headers().set(HttpHeaderNames.HOST, "counter").set(HttpHeaderNames.CONTENT_LENGTH, 0);
+            channel.write(message).addListener(done -> call.written = done.isSuccess());
         }
 
-        private void writeWaiting() {
-            if (channel == null || !channel.isActive() || dead) {
-                return;
-            }
-            while (!waiting.isEmpty()) {
-                Call call = waiting.poll();
-                pending.add(call);
-                DefaultFullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-                    HttpMethod.POST, call.uri);
-                message.headers().set(HttpHeaderNames.HOST, "counter").set(HttpHeaderNames.CONTENT_LENGTH, 0);
-                channel.write(message).addListener(done -> call.written = done.isSuccess());
+        void expired(Call call) {
+            Call oldest = pending.peek();
+            boolean silent = oldest != null && System.nanoTime() - oldest.at > SILENT_TIMEOUTS * timeout;
+            if (!call.written || silent || !decoder.isBetween()) {
+                // The silence is the connection's, an answer begun will not get whole, or the call is still to be
+                // written and must not be any more: later calls get a new line.
+                die();
+            } else {
+                closeIfDone();
             }
-            channel.flush();
         }
 
-        private void expire(Call call) {
-            if (call.over) {
-                return;
-            }
-            if (waiting.remove(call)) {
-                call.end(Outcome.CONNECT_FAILED, 0);
-                return;
-            }
-            call.end(call.written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, 0);
-            Call oldest = pending.peek();
-            if (!call.written || oldest != null && System.nanoTime() - oldest.at > SILENT_TIMEOUTS * timeout) {
-                // The silence is the connection's: later calls get a new one. An unwritten one must not go out.
+        /** A line that has been replaced is kept for the calls that are out on it, and no longer. */
+        void closeIfDone() {
+            if (place.line != this && (pending.isEmpty() || pending.peekLast().over)) {
                 die();
+                place.write();
             }
         }
 
@@ -173,47 +223,58 @@
                 return;
             }
             dead = true;
-            if (lines[place] == this) {
-                lines[place] = null;
-            }
             channel.close();
+            if (place.line == this) {
+                place.line = null;
+            }
             while (!pending.isEmpty()) {
                 pending.poll().broke();
             }
-            while (!waiting.isEmpty()) {
-                waiting.poll().broke();
+            if (place.line != null || place.waiting.isEmpty()) {
+                return;
+            }
+            if (connected) {
+                place.line = new Line(place);
+            } else {
+                // Nobody listens there: to try again at once would only go round and round.
+                while (!place.waiting.isEmpty()) {
+                    place.waiting.poll().broke();
+                }
             }
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
+        boolean expectsAnswer() {
+            return !pending.isEmpty() && pending.peek().written;
+        }
+
+        @Override
+        void answered(HttpResponse answer, ByteBuf body) {
             Call call = pending.poll();
-            if (call == null) {
-                die();
-                return;
-            }
+            boolean good = HttpUtil.isKeepAlive(answer);
             switch (answer.status().code()) {
                 case 200 -> {
-                    try {
-                        double total = Double.parseDouble(answer.content().toString(StandardCharsets.US_ASCII));
-                        call.end(Double.isFinite(total) ? Outcome.OK : Outcome.RESET, total);
-                    } catch (NumberFormatException e) {
-                        // It was added, but the total is not known.
-                        call.end(Outcome.RESET, 0);
-                    }
+                    double total = Figures.number(body.toString(StandardCharsets.US_ASCII).strip());
+                    // It was added. A total that cannot be read leaves it unknown, and the line is no good.
+                    boolean known = !Double.isNaN(total);
+                    good &= known;
+                    call.end(known ? Outcome.OK : Outcome.RESET, known ? total : 0);
                 }
                 case 503, 400, 404 -> call.end(Outcome.FULL, 0);
-                default -> call.end(Outcome.RESET, 0);
+                default -> {
+                    good = false;
+                    call.end(Outcome.RESET, 0);
+                }
+            }
+            if (good) {
+                closeIfDone();
+            } else {
+                die();
             }
         }
 
         @Override
-        public void channelInactive(ChannelHandlerContext context) {
-            die();
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        void spoilt() {
             die();
         }
     }
--- a/src/main/java/thistlefall/node/DiscoveryClient.java
+++ b/src/main/java/thistlefall/node/DiscoveryClient.java
@@ -36,8 +36,9 @@
     private final EdgeNode node;
     private final EventLoop loop;
     private final Config.Names names;
-    private final InetSocketAddress address;
     private final Bootstrap bootstrap;
+    private InetSocketAddress address;
+    private Channel watching;
     private long revision, backoff = FIRST_BACKOFF_MS;
     private boolean heard;
 
@@ -69,14 +70,37 @@
         return heard;
     }
 
+    /** From now on watches elsewhere. The list is kept: what changed since then is the new watch's to tell. */
+    void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        backoff = FIRST_BACKOFF_MS;
+        Channel old = watching;
+        watch();
+        old.close();
+    }
+
     private void watch() {
         ChannelFuture connecting = bootstrap.connect(address);
-        connecting.channel().closeFuture().addListener(closed -> {
-            loop.schedule(this::watch, backoff, TimeUnit.MILLISECONDS);
-            backoff = Math.min(MOST_BACKOFF_MS, 2 * backoff);
+        Channel channel = connecting.channel();
+        watching = channel;
+        channel.closeFuture().addListener(closed -> {
+            if (watching == channel) {
+                // Between two watches this stays the last one's channel, so that only a move replaces it.
+                loop.schedule(() -> again(channel), backoff, TimeUnit.MILLISECONDS);
+                backoff = Math.min(MOST_BACKOFF_MS, 2 * backoff);
+            }
         });
     }
 
+    private void again(Channel ended) {
+        if (watching == ended) {
+            watch();
+        }
+    }
+
     /** One watch: a chunked answer with a JSON object a line. */
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
@@ -93,7 +117,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject part) throws Exception {
             // The rest of what was read goes on arriving after a close: the body of an error is no list.
-            ended |= part.decoderResult().isFailure()
+            ended |= context.channel() != watching || part.decoderResult().isFailure()
                 || part instanceof HttpResponse response && response.status().code() != 200;
             if (ended) {
                 context.close();
@@ -133,7 +157,10 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            EdgeNode.trouble("discovery", cause);
+            if (!ended) {
+                EdgeNode.trouble("discovery", cause);
+            }
+            ended = true;
             context.close();
         }
     }
--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -67,6 +67,19 @@
         return clients.address();
     }
 
+    /**
+     * Goes over to the addresses of a new configuration. Clients, attempts, the module and its list stay as they
+     * are, and all else in the file is for the next start.
+     */
+    void reload(Config changed) {
+        loop.execute(() -> {
+            discovery.move(changed.discovery());
+            if (changed.counter() != null) {
+                counter.move(changed.counter());
+            }
+        });
+    }
+
     /** Answers all that was taken and completes when no client's connection is open any more. */
     CompletableFuture<Void> drain() {
         CompletableFuture<Void> done = new CompletableFuture<>();
--- a/src/main/java/thistlefall/node/Main.java
+++ b/src/main/java/thistlefall/node/Main.java
@@ -24,7 +24,9 @@
             return;
         }
         try {
-            EdgeNode node = new EdgeNode(Config.read(Path.of(file)));
+            Path path = Path.of(file);
+            EdgeNode node = new EdgeNode(Config.read(path));
+            onHangup(() -> reload(node, path));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "stop"));
             node.start();
             System.out.println("serving on " + node.address());
@@ -35,6 +37,27 @@
         }
     }
 
+    /**
+     * Java has no public way to hear of a signal, and without a handler this one ends the JVM. The compiler's
+     * word on this interface cannot be turned off; it is no lint.
+     */
+    private static void onHangup(Runnable then) {
+        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> then.run());
+    }
+
+    /** A file that cannot be used costs one line; the settings that the node has stay as they are. */
+    private static void reload(EdgeNode node, Path file) {
+        try {
+            // One at a time: signals may follow each other faster than the file is read.
+            synchronized (node) {
+                node.reload(Config.read(file));
+            }
+            System.out.println("configuration read again");
+        } catch (Exception e) {
+            System.err.println("the configuration stays as it was: " + e.getMessage());
+        }
+    }
+
     /** Ends a planned restart with 0: the platform reads any other status as a failure of the node. */
     private static void stop(EdgeNode node) {
         try {
--- a/src/test/java/thistlefall/MechanismTest.java
+++ b/src/test/java/thistlefall/MechanismTest.java
@@ -18,7 +18,6 @@
 import org.junit.jupiter.api.Test;
 import thistlefall.Ports.Outcome;
 import thistlefall.Ports.Plan;
-import thistlefall.Ports.Request;
 
 /** The laws and the counter rule on their own terms. */
 class MechanismTest {
--- /dev/null
+++ b/src/test/java/thistlefall/node/CounterClientTest.java
@@ -0,0 +1,126 @@
+package thistlefall.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Calls to a counter that is late, spoils its answers or moves. */
+@Timeout(120)
+class CounterClientTest extends Stage {
+    private static final long LIFE = 4_000_000_000L;
+    private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+    private EventLoop loop;
+    private CounterClient client;
+
+    @BeforeEach
+    void client() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        toClose.add(() -> group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly());
+        loop = group.next();
+        Config config = counting(counter);
+        client = loop.submit(() -> new CounterClient((name, outcome, total) ->
+            told.add(name + " " + outcome + " " + total), loop, config)).get();
+    }
+
+    private Config counting(Peer at) throws Exception {
+        return Config.parse(config().replace(counter.address(), at.address())
+            .replace("\"count-wait-ns\": 50000000", "\"count-wait-ns\": 2000000000"));
+    }
+
+    private void count(long name, double amount) {
+        loop.execute(() -> client.count(name, amount, LIFE));
+    }
+
+    private void assertTold(String end) throws InterruptedException {
+        assertEquals(end, told.poll(60, TimeUnit.SECONDS));
+    }
+
+    /** A late answer belongs to the call that timed out; were it given to the next, totals would shift for good. */
+    @Test
+    void aLateTotalIsSkippedInLine() throws Exception {
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        counting = m -> {
+            if (counter.seen.size() == 1) {
+                go.join();
+                m.answer(Peer.ok("", "77"));
+            } else {
+                m.answer(Peer.ok("", "88"));
+            }
+        };
+        count(4, 1.5);
+        assertTold("4 TIMEOUT 0.0");
+        count(4, -2.25);
+        go.complete(null);
+        assertTold("4 OK 88.0");
+        assertEquals("POST /tally/4?n=1.5&keep_ms=4000 HTTP/1.1", counter.next().first());
+        assertEquals("POST /tally/4?n=-2.25&keep_ms=4000 HTTP/1.1", counter.next().first());
+    }
+
+    /** A line that went on after such an answer took what followed for the next call's, or waited for ever. */
+    @Test
+    void afterAnAnswerThatCannotBeReadTheLineIsReplaced() throws Exception {
+        for (String spoilt : List.of(Peer.ok("", "1d"), Peer.ok("", "0x1p3"), Peer.ok("", ""), Peer.ok("", "NaN"),
+            "noise", "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 1\r\n\r\n1",
+            "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n1",
+            "HTTP/1.1 200 OK\r\n\r\n1", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n")) {
+            counting = m -> m.answer(spoilt);
+            count(4, 1);
+            assertTold("4 RESET 0.0");
+            Peer.Message first = counter.next();
+            counting = m -> m.answer(Peer.ok("", "5"));
+            count(4, 1);
+            assertTold("4 OK 5.0");
+            assertNotSame(first.socket(), counter.next().socket(), spoilt);
+        }
+    }
+
+    /** Answered on the new line before the old one, the calls would be told in the wrong order. */
+    @Test
+    void aMoveKeepsTheOrderOfANamesCalls() throws Exception {
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        counting = m -> {
+            go.join();
+            m.answer(Peer.ok("", "1"));
+        };
+        Peer elsewhere = peer(m -> m.answer(Peer.ok("", "2")));
+        count(4, 1);
+        counter.next();
+        Config moved = counting(elsewhere);
+        loop.submit(() -> client.move(moved.counter())).get();
+        count(4, 1);
+        count(8, 1);
+        go.complete(null);
+        assertTold("4 OK 1.0");
+        assertTold("4 OK 2.0");
+        assertTold("8 OK 2.0");
+        assertNotNull(counter.ended.poll(60, TimeUnit.SECONDS), "the old line is of no more use");
+        assertTrue(counter.seen.isEmpty(), "calls after the move must go to the new address");
+    }
+
+    /** Too many calls without an answer end in their order: a newcomer's end must not be told first. */
+    @Test
+    void aLineThatIsFullEndsItsCallsInOrder() throws Exception {
+        counting = m -> { };
+        for (int i = 0; i < 300; i++) {
+            count(4L * i, 1);
+        }
+        for (int i = 0; i < 300; i++) {
+            String end = told.poll(60, TimeUnit.SECONDS);
+            assertTrue(end != null && end.startsWith(4L * i + " "), "call " + i + " was told as " + end);
+        }
+    }
+}
--- a/src/test/java/thistlefall/node/EdgeNodeTest.java
+++ b/src/test/java/thistlefall/node/EdgeNodeTest.java
@@ -7,19 +7,13 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -231,45 +225,6 @@
         assertEquals("200", ask(client(node), "t-1"));
     }
 
-    /** A late answer belongs to the call that timed out; were it given to the next, totals would shift for good. */
-    @Test
-    void aLateTotalIsSkippedInLine() throws Exception {
-        CompletableFuture<Void> go = new CompletableFuture<>();
-        counting = m -> {
-            if (counter.seen.size() == 1) {
-                go.join();
-                m.answer(Peer.ok("", "77"));
-            } else {
-                m.answer(Peer.ok("", "88"));
-            }
-        };
-        BlockingQueue<String> told = new LinkedBlockingQueue<>();
-        Config config = Config.parse(config().replace("\"count-wait-ns\": 50000000", "\"count-wait-ns\": 2000000000"));
-        try (var group = new CloseableGroup()) {
-            EventLoop loop = group.loops.next();
-            CounterClient client = loop.submit(() -> new CounterClient((name, outcome, total) ->
-                told.add(name + " " + outcome + " " + total), loop, config)).get();
-            loop.execute(() -> client.count(4, 1.5, 4_000_000_000L));
-            assertEquals("4 TIMEOUT 0.0", told.poll(60, TimeUnit.SECONDS));
-            loop.execute(() -> client.count(4, -2.25, 4_000_000_000L));
-            go.complete(null);
-            assertEquals("4 OK 88.0", told.poll(60, TimeUnit.SECONDS));
-        }
-        assertEquals("POST /tally/4?n=1.5&keep_ms=4000 HTTP/1.1", counter.next().first());
-        assertEquals("POST /tally/4?n=-2.25&keep_ms=4000 HTTP/1.1", counter.next().first());
-    }
-
-    private record CloseableGroup(EventLoopGroup loops) implements AutoCloseable {
-        CloseableGroup() {
-            this(new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()));
-        }
-
-        @Override
-        public void close() {
-            loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
-        }
-    }
-
     @Test
     void aMalformedConfigurationNamesItsKey() throws Exception {
         String good = config();
--- /dev/null
+++ b/src/test/java/thistlefall/node/ReloadTest.java
@@ -0,0 +1,94 @@
+package thistlefall.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A new configuration while the node serves. */
+@Timeout(120)
+class ReloadTest extends Stage {
+    @TempDir
+    Path folder;
+
+    private static String watched(String line) {
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(line.length() + 1)
+            + "\r\n" + line + "\n\r\n";
+    }
+
+    @Test
+    void theOldListServesUntilTheNewWatchSpeaks() throws Exception {
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        Peer old = peer(m -> m.answer(Peer.ok("", "old")));
+        Peer fresh = peer(m -> m.answer(Peer.ok("", "new")));
+        String config = config(member("s-0", old.address(), "Ready", 0));
+        EdgeNode node = start(config);
+        Peer elsewhere = peer(m -> {
+            go.join();
+            m.answer(watched("{\"revision\":9,\"complete\":true,\"members\":["
+                + member("s-1", fresh.address(), "Ready", 0) + "]}"));
+        });
+        discovery.next();
+        node.reload(Config.parse(config.replace(discovery.address(), elsewhere.address())));
+        assertNotNull(discovery.ended.poll(60, TimeUnit.SECONDS), "the old watch must end");
+        assertTrue(elsewhere.next().first().contains("watch=1&after=5"));
+        Socket client = client(node);
+        order(client, "t-1");
+        assertEquals("old", Peer.read(client).body());
+        go.complete(null);
+        assertNotNull(old.ended.poll(60, TimeUnit.SECONDS), "what the new list leaves out must go");
+        order(client, "t-2");
+        assertEquals("new", Peer.read(client).body());
+    }
+
+    /** Without a handler the signal ends the JVM: this needs a process of its own. */
+    @Test
+    void aHangupReadsTheFileAgainAndABadFileChangesNothing() throws Exception {
+        Path file = folder.resolve("config.json");
+        Peer elsewhere = peer(m -> m.answer(UNCHANGED));
+        String config = config();
+        Files.writeString(file, config);
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-cp", System.getProperty("java.class.path"), "thistlefall.node.Main", "serve").redirectErrorStream(true);
+        builder.environment().put("GW_CONFIG", file.toString());
+        Process process = builder.start();
+        toClose.add(process::destroyForcibly);
+        BufferedReader said = new BufferedReader(
+            new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        await(said, "serving on");
+        discovery.next();
+        Files.writeString(file, "{");
+        hangUp(process);
+        await(said, "the configuration stays as it was");
+        Files.writeString(file, config.replace(discovery.address(), elsewhere.address()));
+        hangUp(process);
+        elsewhere.next();
+        process.destroy();
+        assertTrue(process.waitFor(60, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+    }
+
+    private static void await(BufferedReader said, String start) throws IOException {
+        String line = said.readLine();
+        while (line != null && !line.startsWith(start)) {
+            line = said.readLine();
+        }
+        assertNotNull(line, "the process ended before it said: " + start);
+    }
+
+    private static void hangUp(Process process) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+}
--- a/src/test/java/thistlefall/node/SpoiltAnswerTest.java
+++ b/src/test/java/thistlefall/node/SpoiltAnswerTest.java
@@ -53,7 +53,8 @@
             "HTTP/1.1 200 OK\r\n\r\nno end told",
             "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\nhalf",
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n",
-            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
             "HTTP/1.1 200 OK\r\nnoise\r\n\r\n", "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 4\r\n\r\nhalf",
             "HTTP/1.1 2x0 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Open: end",
             "HTTP/1.1 101 Switching\r\nUpgrade: h2c\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Long: " + "x".repeat(20_000))) {
