Clients get limits on time and bytes; nothing behind a refused message is read

On reading (ClientServer): no limit on how long a head, a body or silence may take; requests sent ahead were decoded as they came and held as whole objects, 8 of 64 KiB on each connection; a ninth closed the connection under an open request; after a refusal the rest went on being parsed; '1d', '+5', non-ASCII digits, repeated headers, 1e6 units and deadlines of an hour were taken.

Now a whole request is owed 2.5 s after connecting (or after its first byte), an idle connection closes after 2 s, never one with a request open. RequestDecoder stops behind each request; a connection that sends ahead is not read any more, nor one that does not read its answers. ByteBudget bounds bodies over all connections by the memory limit, its last quarter for small ones. At the bound on connections one that never asked goes first.

--- a/src/main/java/thistlefall/node/AnswerHandler.java
+++ b/src/main/java/thistlefall/node/AnswerHandler.java
@@ -1,7 +1,6 @@
 package thistlefall.node;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderException;
@@ -22,14 +21,14 @@
     private static final int MOST_INFORMATIONAL = 32;
 
     private final int most;
+    private final Body body;
     private HttpResponse head;
-    /** What came of the body: its one part as it was read, or a buffer of our own that grows. */
-    private ByteBuf body = Unpooled.EMPTY_BUFFER, copied;
     private int informational;
     private boolean spoilt;
 
     AnswerHandler(int most) {
         this.most = most;
+        body = new Body(most);
     }
 
     /** A whole answer came; the body stays the caller's. */
@@ -58,8 +57,8 @@
                 return;
             }
         }
-        if (part instanceof HttpContent content && !isInformational()) {
-            append(context, content.content());
+        if (part instanceof HttpContent content && !isInformational() && !body.add(content.content())) {
+            spoil();
         }
         if (part instanceof LastHttpContent && !spoilt) {
             finish();
@@ -81,31 +80,14 @@
         return length >= 0 && length <= most || length < 0 && (status == 204 || status == 304);
     }
 
-    private void append(ChannelHandlerContext context, ByteBuf part) {
-        if (body.readableBytes() + part.readableBytes() > most) {
-            spoil();
-        } else if (!body.isReadable()) {
-            body = part.retain();
-        } else {
-            if (copied == null) {
-                copied = context.alloc().buffer(2 * body.readableBytes()).writeBytes(body);
-                body.release();
-                body = copied;
-            }
-            copied.writeBytes(part);
-        }
-    }
-
     private void finish() {
         HttpResponse answer = head;
-        ByteBuf whole = body;
         if (isInformational()) {
             return;
         }
         head = null;
-        body = Unpooled.EMPTY_BUFFER;
-        copied = null;
         informational = 0;
+        ByteBuf whole = body.take();
         try {
             answered(answer, whole);
         } finally {
@@ -117,8 +99,7 @@
         if (!spoilt) {
             spoilt = true;
             head = null;
-            body.release();
-            body = Unpooled.EMPTY_BUFFER;
+            body.take().release();
             spoilt();
         }
     }
--- /dev/null
+++ b/src/main/java/thistlefall/node/ByteBudget.java
@@ -0,0 +1,32 @@
+package thistlefall.node;
+
+/**
+ * The bytes that clients' requests may hold over all connections together: each connection's own bound does not
+ * keep a thousand of them from outgrowing the memory.
+ */
+final class ByteBudget {
+    /** Usual requests are small. They have the last quarter to themselves. */
+    private static final int SMALL = 4 * 1024;
+    private static final long LEAST = 1L << 20, MOST = 8L << 20;
+
+    private final long most;
+    private long used;
+
+    /** A sixteenth of the memory, within bounds. */
+    ByteBudget(long memory) {
+        most = Math.max(LEAST, Math.min(MOST, memory / 16));
+    }
+
+    /** Whether a request that holds, or will hold, so much may go on growing. */
+    boolean allows(long size) {
+        return used < (size > SMALL ? most / 4 * 3 : most);
+    }
+
+    void change(long by) {
+        used += by;
+    }
+
+    long used() {
+        return used;
+    }
+}
--- a/src/main/java/thistlefall/node/ClientServer.java
+++ b/src/main/java/thistlefall/node/ClientServer.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -11,54 +12,72 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.cookie.Cookie;
 import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
 import java.io.IOException;
+import java.math.BigDecimal;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import thistlefall.Ports.Repeat;
 import thistlefall.Ports.Request;
+import thistlefall.Ports.RequestClass;
 
 /** The listening side: reads clients' requests, turns away what is none, and writes the answers. */
 final class ClientServer {
     private static final long MAX_CUSTOMER = 1L << 33;
-    private static final int BACKLOG = 512, MOST_WAITING = 8;
-    private static final double MOST_UNITS = 1e6;
+    private static final Pattern HEX = Pattern.compile("[0-9a-fA-F]{16}");
+    private static final Pattern WHOLE_NUMBER = Pattern.compile("[0-9]{1,15}");
+    private static final int BACKLOG = 512, MOST_NAME = 128;
+    /** How much of one read, and how much that came ahead of its turn, a connection holds. */
+    private static final int READ = 8 * 1024, MOST_AHEAD = ServerPool.MOST_BODY;
+    /**
+     * How long a whole request may take, from the connect or, on a connection that has asked before, from its
+     * first byte; how long a connection may stand idle; and how often this is looked at.
+     */
+    private static final long MS = 1_000_000L, WHOLE = 2_500 * MS, IDLE = 2_000 * MS, SWEEP = 250 * MS;
 
     private final EdgeNode node;
     private final EventLoop loop;
     private final Config config;
+    private final ByteBudget budget;
     private final Set<Session> sessions = new LinkedHashSet<>();
     private final int most;
     private Channel listening;
     private boolean draining;
     private CompletableFuture<Void> drained;
 
-    ClientServer(EdgeNode node, EventLoop loop, Config config) {
+    ClientServer(EdgeNode node, EventLoop loop, Config config, ByteBudget budget) {
         this.node = node;
+        this.budget = budget;
         this.loop = loop;
         this.config = config;
         // Half of the descriptors; app servers have three eighths, the rest is the process's own.
         most = Math.max(8, config.sockets() / 2);
+        loop.scheduleAtFixedRate(() -> List.copyOf(sessions).forEach(Session::limit), SWEEP, SWEEP,
+            TimeUnit.NANOSECONDS);
     }
 
     CompletableFuture<Void> bind() {
@@ -66,11 +85,12 @@
         new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 1024, READ))
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new HttpServerCodec(),
-                        new HttpObjectAggregator(ServerPool.MOST_BODY), new Session());
+                    Session session = new Session(channel);
+                    channel.pipeline().addLast(session.decoder, new HttpResponseEncoder(), session);
                 }
             })
             .bind(config.listen()).addListener((ChannelFutureListener) done -> {
@@ -98,7 +118,7 @@
         drained = done;
         listening.close();
         for (Session session : List.copyOf(sessions)) {
-            if (session.current == null && session.waiting.isEmpty()) {
+            if (session.isBetween()) {
                 session.channel.close();
             }
         }
@@ -106,18 +126,29 @@
     }
 
     /**
-     * Ends the oldest connection between requests, which its client can tell from a loss. Without this, clients
+     * Ends a connection that no request is open on, so that its client can tell it from a loss: one that never
+     * brought a whole request, the oldest first, else the one that has been idle longest. Without this, clients
      * that connect and say nothing would hold every place, and nobody else would ever be let in.
      */
     private boolean makeRoom(Session newest) {
+        Session least = null;
         for (Session session : sessions) {
-            if (session != newest && !session.closing && session.current == null && session.waiting.isEmpty()) {
-                session.closing = true;
-                session.channel.close();
-                return true;
+            if (session == newest || session.closing || session.current != null) {
+                continue;
             }
+            if (!session.asked) {
+                least = session;
+                break;
+            }
+            if (session.isBetween() && (least == null || session.since - least.since < 0)) {
+                least = session;
+            }
+        }
+        if (least != null) {
+            least.closing = true;
+            least.channel.close();
         }
-        return false;
+        return least != null;
     }
 
     private void finishDrain() {
@@ -141,47 +172,63 @@
         return new Refusal(HttpResponseStatus.BAD_REQUEST, why);
     }
 
-    /** Reads a request; what it cannot read it names. */
-    private OpenRequest read(FullHttpRequest message, OpenRequest.Answers answers) throws Refusal {
-        String uri = message.uri();
+    /** Reads a request; what it cannot read it names. Nothing is taken that means different things to readers. */
+    private OpenRequest read(HttpRequest head, ByteBuf body, OpenRequest.Answers answers) throws Refusal {
+        String uri = head.uri();
         if (!uri.equals("/api") && !uri.startsWith("/api?")) {
             throw new Refusal(HttpResponseStatus.NOT_FOUND, "no such path");
         }
-        HttpHeaders headers = message.headers();
-        String id = need(headers, "X-Trace-Id");
-        if (id.length() > 128) {
-            throw bad("X-Trace-Id is too long");
-        }
+        HttpHeaders headers = head.headers();
+        String id = name(need(headers, "X-Trace-Id"), "X-Trace-Id");
         int requestClass = index(config.names().classes(), headers, "X-Qos");
         int plan = index(config.names().plans(), headers, "X-Plan");
-        Repeat repeat = config.settings().classes().get(requestClass).repeat();
-        HttpMethod method = repeat == Repeat.SAFE ? HttpMethod.GET : HttpMethod.POST;
-        if (!message.method().equals(method)) {
+        RequestClass spec = config.settings().classes().get(requestClass);
+        HttpMethod method = spec.repeat() == Repeat.SAFE ? HttpMethod.GET : HttpMethod.POST;
+        if (!head.method().equals(method)) {
             throw new Refusal(HttpResponseStatus.METHOD_NOT_ALLOWED, "this class goes by " + method);
         }
-        String key = headers.get("Idempotency-Key");
-        if (repeat == Repeat.KEYED && (key == null || key.isEmpty())) {
-            throw bad("Idempotency-Key is missing");
+        String key = only(headers, "Idempotency-Key");
+        if (key != null || spec.repeat() == Repeat.KEYED) {
+            name(need(headers, "Idempotency-Key"), "Idempotency-Key");
         }
-        long span = whole(need(headers, "X-Expires-In-Ms"), "X-Expires-In-Ms", 1, 3_600_000);
+        // No client waits longer than its class lets it, whatever it says: its request would only be held.
+        long span = whole(need(headers, "X-Expires-In-Ms"), "X-Expires-In-Ms", 1, 2 * spec.deadline() / MS);
         Map<String, String> quota = quota(need(headers, "X-Quota"));
         int siblings = config.settings().siblings();
         Request request = new Request(id, requestClass, plan, customer(headers),
-            node.deadline(node.now(), span * 1_000_000L), units(quota.get("units")),
+            node.deadline(node.now(), span * MS), units(quota.get("units")),
             (int) whole(quota.get("spread"), "X-Quota spread", 1, siblings),
             (int) whole(quota.get("first"), "X-Quota first", 0, siblings - 1L),
             "1".equals(headers.get("X-Second-Try")));
-        return new OpenRequest(request, method, uri, key, message.content().retain(), answers);
+        return new OpenRequest(request, method, uri, key, body, answers);
+    }
+
+    /** A header that stands once at most; null if it does not stand there. */
+    private static String only(HttpHeaders headers, String name) throws Refusal {
+        Iterator<String> values = headers.valueStringIterator(name);
+        String value = values.hasNext() ? values.next() : null;
+        if (values.hasNext()) {
+            throw bad(name + " stands there twice");
+        }
+        return value;
     }
 
     private static String need(HttpHeaders headers, String name) throws Refusal {
-        String value = headers.get(name);
+        String value = only(headers, name);
         if (value == null || value.isBlank()) {
             throw bad(name + " is missing");
         }
         return value;
     }
 
+    /** These go on to app servers and must arrive there as they came. */
+    private static String name(String value, String header) throws Refusal {
+        if (value.length() > MOST_NAME || !value.chars().allMatch(c -> c > ' ' && c < 127)) {
+            throw bad(header + " is no name");
+        }
+        return value;
+    }
+
     private static int index(List<String> names, HttpHeaders headers, String name) throws Refusal {
         int index = names.indexOf(need(headers, name));
         if (index < 0) {
@@ -191,64 +238,76 @@
     }
 
     private static long customer(HttpHeaders headers) throws Refusal {
-        for (Cookie cookie : ServerCookieDecoder.LAX.decode(need(headers, "Cookie"))) {
-            if (cookie.name().equals("customer") && cookie.value().length() == 16) {
-                try {
-                    long customer = Long.parseUnsignedLong(cookie.value(), 16);
-                    if (customer >= 0 && customer < MAX_CUSTOMER) {
-                        return customer;
-                    }
-                } catch (NumberFormatException e) {
-                    // Said below.
+        String found = null;
+        for (Cookie cookie : ServerCookieDecoder.LAX.decodeAll(need(headers, "Cookie"))) {
+            if (cookie.name().equals("customer")) {
+                if (found != null) {
+                    throw bad("the cookie names two customers");
                 }
+                found = cookie.value();
+            }
+        }
+        if (found != null && HEX.matcher(found).matches()) {
+            long customer = Long.parseUnsignedLong(found, 16);
+            if (customer >= 0 && customer < MAX_CUSTOMER) {
+                return customer;
             }
         }
         throw bad("the cookie names no customer");
     }
 
-    private static Map<String, String> quota(String text) {
+    private static Map<String, String> quota(String text) throws Refusal {
         Map<String, String> parts = new HashMap<>();
         for (String part : text.split(",")) {
             String[] pair = part.trim().split("=", 2);
-            parts.put(pair[0].toLowerCase(Locale.ROOT), pair.length > 1 ? pair[1] : "");
+            if (parts.put(pair[0], pair.length > 1 ? pair[1] : "") != null) {
+                throw bad("X-Quota says " + pair[0] + " twice");
+            }
         }
         return parts;
     }
 
-    private static double units(String text) throws Refusal {
-        try {
-            double units = text == null ? 0 : Double.parseDouble(text);
-            if (units > 0 && units <= MOST_UNITS) {
-                return units;
-            }
-        } catch (NumberFormatException e) {
-            // Said below.
+    private double units(String text) throws Refusal {
+        double units = Figures.amount(text, config.settings().counter().largest());
+        if (Double.isNaN(units)) {
+            throw bad("X-Quota units is not a number above 0 that one request may count");
         }
-        throw bad("X-Quota units is not a number above 0");
+        return units;
     }
 
     private static long whole(String text, String name, long least, long most) throws Refusal {
-        try {
-            long value = text == null ? least - 1 : Long.parseLong(text.trim());
+        if (text != null && WHOLE_NUMBER.matcher(text).matches()) {
+            long value = Long.parseLong(text);
             if (value >= least && value <= most) {
                 return value;
             }
-        } catch (NumberFormatException e) {
-            // Said below.
         }
         throw bad(name + " is not a whole number from " + least + " to " + most);
     }
 
-    /** A client's connection: one request at a time, what comes behind it waits its turn. */
-    private final class Session extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private Channel channel;
+    /** A client's connection: one request at a time; what comes behind it waits undecoded. */
+    private final class Session extends SimpleChannelInboundHandler<HttpObject> {
+        private final RequestDecoder decoder = new RequestDecoder(this::arrived);
+        private final Body body = new Body(ServerPool.MOST_BODY);
+        private final Channel channel;
+        private HttpRequest head;
         private OpenRequest current;
-        private boolean keepAlive, closing;
-        private final ArrayDeque<FullHttpRequest> waiting = new ArrayDeque<>();
+        /** {@code begun}: a part of a request has come; {@code asked}: a whole one has, ever. */
+        private boolean begun, asked, keepAlive, closing;
+        /** When the request that is coming, or else the silence, began. */
+        private long since = System.nanoTime();
+        private int held;
+
+        Session(Channel channel) {
+            this.channel = channel;
+        }
+
+        boolean isBetween() {
+            return current == null && !begun;
+        }
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
-            channel = context.channel();
             sessions.add(this);
             if (sessions.size() >= most && !makeRoom(this)) {
                 // At the bound on descriptors newcomers wait in the kernel's line until a connection ends.
@@ -256,97 +315,173 @@
             }
         }
 
+        /** After each read. A client that sends ahead is not read from any more until its turn comes. */
+        private void arrived() {
+            if (isBetween() && !closing && decoder.held() > 0) {
+                begin();
+            }
+            account();
+            if (current != null && decoder.held() > 0
+                && (decoder.held() > MOST_AHEAD || !budget.allows(decoder.held()))) {
+                channel.config().setAutoRead(false);
+            } else if (head != null && !closing && !budget.allows(held)) {
+                refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for this body");
+            }
+        }
+
+        private void begin() {
+            begun = true;
+            if (asked) {
+                since = System.nanoTime();
+            }
+        }
+
+        private void account() {
+            int holds = decoder.held() + body.size();
+            budget.change(holds - held);
+            held = holds;
+        }
+
+        /** Ends what takes too long. Never while a request is open: that would lose it. */
+        private void limit() {
+            long age = System.nanoTime() - since;
+            if (current != null) {
+                return;
+            }
+            if (begun && !closing && age > WHOLE) {
+                refuse(HttpResponseStatus.REQUEST_TIMEOUT, "the request takes too long to come");
+            } else if ((closing || !begun) && age > IDLE) {
+                closing = true;
+                channel.close();
+            }
+        }
+
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
+        protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
             if (closing) {
                 return;
             }
-            if (current == null) {
-                handle(message);
-            } else if (waiting.size() < MOST_WAITING) {
-                waiting.add(message.retain());
-            } else {
-                context.close();
+            if (part.decoderResult().isFailure()) {
+                refuse(HttpResponseStatus.BAD_REQUEST, "this is no request that can be read");
+                return;
+            }
+            if (part instanceof HttpRequest coming) {
+                head = coming;
+                begin();
+                weigh(coming);
+            }
+            if (part instanceof HttpContent content && !closing && !body.add(content.content())) {
+                refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+            }
+            if (part instanceof LastHttpContent && !closing) {
+                handle();
             }
         }
 
-        private void handle(FullHttpRequest message) {
-            keepAlive = HttpUtil.isKeepAlive(message);
-            if (message.decoderResult().isFailure()) {
-                keepAlive = false;
-                plain(HttpResponseStatus.BAD_REQUEST, "this is no request that can be read");
-                return;
+        /** Turns a body away that is too large by what the head says, before any of it is read. */
+        private void weigh(HttpRequest coming) {
+            long length = HttpUtil.getContentLength(coming, 0L);
+            if (length > ServerPool.MOST_BODY) {
+                refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+            } else if (!budget.allows(length)) {
+                refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for this body");
+            } else if (HttpUtil.is100ContinueExpected(coming)) {
+                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+                    Unpooled.EMPTY_BUFFER));
             }
-            if (message.uri().equals("/_health")) {
-                health(message.method());
+        }
+
+        private void handle() {
+            HttpRequest whole = head;
+            ByteBuf content = body.take();
+            head = null;
+            begun = false;
+            asked = true;
+            keepAlive = HttpUtil.isKeepAlive(whole);
+            if (whole.uri().equals("/_health")) {
+                content.release();
+                health(whole.method());
                 return;
             }
             try {
-                OpenRequest taken = read(message, new Reply());
+                OpenRequest taken = read(whole, content, new Reply());
                 current = taken;
                 if (!node.take(taken)) {
                     current = null;
-                    taken.body.release();
-                    plain(HttpResponseStatus.CONFLICT, "a request of this id is open");
+                    throw new Refusal(HttpResponseStatus.CONFLICT, "a request of this id is open");
                 }
             } catch (Refusal e) {
-                plain(e.status, e.getMessage());
+                content.release();
+                refuse(e.status, e.getMessage());
             }
         }
 
         private void health(HttpMethod method) {
             if (!method.equals(HttpMethod.GET)) {
-                plain(HttpResponseStatus.METHOD_NOT_ALLOWED, "GET only");
+                refuse(HttpResponseStatus.METHOD_NOT_ALLOWED, "GET only");
             } else {
-                plain(node.ready() && !draining ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, "");
+                write(node.ready() && !draining ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    Unpooled.EMPTY_BUFFER, 0);
             }
         }
 
-        private void plain(HttpResponseStatus status, String why) {
-            write(status, why.isEmpty() ? Unpooled.EMPTY_BUFFER
-                : Unpooled.copiedBuffer(why + "\n", StandardCharsets.UTF_8), 0);
+        /** Turns away what is no request. Nothing behind it is read: it may be a part of it. */
+        private void refuse(HttpResponseStatus status, String why) {
+            keepAlive = false;
+            head = null;
+            body.take().release();
+            decoder.stop();
+            channel.config().setAutoRead(false);
+            write(status, Unpooled.copiedBuffer(why + "\n", StandardCharsets.UTF_8), 0);
         }
 
-        private void write(HttpResponseStatus status, ByteBuf body, long retryAfter) {
-            DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
-            answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        private void write(HttpResponseStatus status, ByteBuf content, long retryAfter) {
+            DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content);
+            answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
             if (retryAfter > 0) {
                 answer.headers().set(HttpHeaderNames.RETRY_AFTER,
-                    String.format(Locale.ROOT, "%.3f", retryAfter / 1e9));
+                    BigDecimal.valueOf((retryAfter + MS - 1) / MS, 3).toPlainString());
             }
             closing = !keepAlive || draining;
             if (closing) {
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
             current = null;
+            begun = false;
+            since = System.nanoTime();
             channel.writeAndFlush(answer).addListener(closing ? ChannelFutureListener.CLOSE
                 : ChannelFutureListener.CLOSE_ON_FAILURE);
-            if (!closing && !waiting.isEmpty()) {
-                loop.execute(this::handleWaiting);
+            if (!closing) {
+                loop.execute(this::next);
             }
         }
 
-        private void handleWaiting() {
-            if (current != null || closing || waiting.isEmpty()) {
+        /** Goes on to what came meanwhile, unless the client does not even read its answers. */
+        private void next() {
+            if (current != null || closing || !channel.isActive() || !channel.isWritable()) {
                 return;
             }
-            FullHttpRequest next = waiting.poll();
+            channel.config().setAutoRead(true);
             try {
-                handle(next);
-            } finally {
-                next.release();
+                decoder.resume();
+            } catch (Exception e) {
+                exceptionCaught(null, e);
             }
         }
 
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            next();
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             sessions.remove(this);
+            body.take().release();
+            account();
             if (drained == null) {
                 listening.config().setAutoRead(true);
             }
-            while (!waiting.isEmpty()) {
-                waiting.poll().release();
-            }
             OpenRequest left = current;
             current = null;
             closing = true;
@@ -358,17 +493,17 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (!(cause instanceof IOException)) {
+            if (!(cause instanceof IOException || cause instanceof DecoderException)) {
                 EdgeNode.trouble("a client's connection", cause);
             }
-            context.close();
+            channel.close();
         }
 
         /** Writes the one answer of the request in hand. */
         private final class Reply implements OpenRequest.Answers {
             @Override
-            public void served(ByteBuf body) {
-                write(HttpResponseStatus.OK, body.retain(), 0);
+            public void served(ByteBuf content) {
+                write(HttpResponseStatus.OK, content.retain(), 0);
             }
 
             @Override
--- a/src/main/java/thistlefall/node/Config.java
+++ b/src/main/java/thistlefall/node/Config.java
@@ -21,13 +21,15 @@
  *
  * @param counter where the counter listens; null where there is none
  * @param sockets how many descriptors the process may hold
+ * @param memory how many bytes it may take
  * @param known the list of app servers as last had before this start
  * @param connectTimeout span after which a connection counts as not made
  * @param keepAlive span after which an app server closes an idle connection
  * @param names the names that stand for the settings' indices
  */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress counter, long seed,
-              int sockets, Roll known, long connectTimeout, long keepAlive, Names names, Settings settings) {
+              int sockets, long memory, Roll known, long connectTimeout, long keepAlive, Names names,
+              Settings settings) {
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -107,7 +109,7 @@
         boolean counted = read.counter().present();
         return new Config(address(root, "listen"), address(root, "discovery"),
             counted ? address(root, "counter") : null, seed(present(root, "seed")),
-            root.path("limits").path("sockets").asInt(1024),
+            root.path("limits").path("sockets").asInt(256), root.path("limits").path("memory_mb").asLong(64) << 20,
             root.hasNonNull("known") ? roll(root.get("known"), names) : new Roll(0, true, List.of()),
             (long) number(pairs, "caps.connect-timeout-ns"), (long) number(pairs, "caps.keepalive-ns"),
             names, read);
--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -36,6 +36,7 @@
     /** The module's clock: the wall's time at the start, going on by the clock that never jumps. */
     private final long clockOffset = System.currentTimeMillis() * MS - System.nanoTime();
     private final Map<String, OpenRequest> open = new HashMap<>();
+    private final ByteBudget budget;
     private final ServerPool pool;
     private final CounterClient counter;
     private final DiscoveryClient discovery;
@@ -46,10 +47,11 @@
 
     EdgeNode(Config config) {
         this.config = config;
+        budget = new ByteBudget(config.memory());
         pool = new ServerPool(this, loop, config);
         counter = new CounterClient(this::counted, loop, config);
         discovery = new DiscoveryClient(this, loop, config);
-        clients = new ClientServer(this, loop, config);
+        clients = new ClientServer(this, loop, config, budget);
     }
 
     /** Begins to serve; returns when the listening socket is bound. */
@@ -151,6 +153,7 @@
         long left = taken.request.deadline() + ANSWER_MARGIN - LAST_MOMENT - now();
         // The backstop for a module that is late: no request may be left without an answer.
         taken.overdue = loop.schedule(() -> overdue(taken), Math.max(0, left), TimeUnit.NANOSECONDS);
+        budget.change(taken.body.readableBytes());
         event(taken, now -> gateway.request(now, taken.request));
         return true;
     }
@@ -194,6 +197,7 @@
     private void settle(OpenRequest of) {
         if (of.answered && !of.attemptOut && open.remove(of.request.id(), of)) {
             of.overdue.cancel(false);
+            budget.change(-of.body.readableBytes());
             of.body.release();
         }
     }
--- /dev/null
+++ b/src/main/java/thistlefall/node/RequestDecoder.java
@@ -0,0 +1,63 @@
+package thistlefall.node;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
+
+/**
+ * The codec's decoder, which stops behind each request until it is told to go on. Requests that were all decoded
+ * as they came would wait as objects many times their size, and what stands behind a refused one is not to be
+ * read at all.
+ */
+final class RequestDecoder extends HttpRequestDecoder {
+    private final Runnable arrived;
+    private ChannelHandlerContext context;
+    private boolean paused, stopped;
+
+    /** {@code arrived} hears of each read, when all that may be decoded has been. */
+    RequestDecoder(Runnable arrived) {
+        this.arrived = arrived;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext at, Object input) throws Exception {
+        super.channelRead(at, input);
+        arrived.run();
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext at, ByteBuf in, List<Object> out) throws Exception {
+        if (stopped) {
+            in.skipBytes(in.readableBytes());
+        } else if (!paused) {
+            super.decode(at, in, out);
+            paused = !out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent;
+        }
+    }
+
+    /** Bytes that came and were not decoded yet. */
+    int held() {
+        return actualReadableBytes();
+    }
+
+    /** Goes on with what came meanwhile. */
+    void resume() throws Exception {
+        paused = false;
+        if (held() > 0) {
+            channelRead(context, Unpooled.EMPTY_BUFFER);
+        }
+    }
+
+    /** Nothing more is wanted: what still comes is dropped unread. */
+    void stop() {
+        stopped = true;
+    }
+}
--- a/src/test/java/thistlefall/node/EdgeNodeTest.java
+++ b/src/test/java/thistlefall/node/EdgeNodeTest.java
@@ -9,7 +9,6 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -60,8 +59,8 @@
             write(client, "POST /api", headers, "");
             assertEquals("400", status(Peer.read(client)), one.getKey());
         }
-        for (String quota : List.of("units=1,spread=0,first=0", "units=1,spread=1,first=99", "units=-1,spread=1,first=0",
-            "spread=1,first=0", "units=1")) {
+        for (String quota : List.of("units=1,spread=0,first=0", "units=1,spread=1,first=99",
+            "units=-1,spread=1,first=0", "spread=1,first=0", "units=1")) {
             Map<String, String> headers = headers("t-1", "order", "20000");
             headers.put("X-Quota", quota);
             Socket client = client(node);
@@ -69,16 +68,11 @@
             assertEquals("400", status(Peer.read(client)), quota);
         }
         Map<String, String> good = headers("t-1", "order", "20000");
-        Socket client = client(node);
-        write(client, "GET /api", good, "");
-        assertEquals("405", status(Peer.read(client)));
-        write(client, "POST /elsewhere", good, "");
-        assertEquals("404", status(Peer.read(client)));
-        write(client, "POST /api", good, "x".repeat(64 * 1024 + 1));
-        assertEquals("413", status(Peer.read(client)));
-        Socket noise = client(node);
-        noise.getOutputStream().write("\u0001noise\r\n\r\n".getBytes(StandardCharsets.UTF_8));
-        assertEquals("400", status(Peer.read(noise)));
+        for (Map.Entry<String, String> one : Map.of("GET /api", "405", "POST /elsewhere", "404").entrySet()) {
+            Socket client = client(node);
+            write(client, one.getKey(), good, "");
+            assertEquals(one.getValue(), status(Peer.read(client)), one.getKey());
+        }
         assertTrue(server.seen.isEmpty(), "none of these may reach an app server");
     }
 
--- /dev/null
+++ b/src/test/java/thistlefall/node/RudeClientTest.java
@@ -0,0 +1,157 @@
+package thistlefall.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Clients that send what is no request, too much, too little or nothing. */
+@Timeout(120)
+class RudeClientTest extends Stage {
+    private static void send(Socket to, String text) throws IOException {
+        to.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String head(Map<String, String> headers, String first) {
+        StringBuilder text = new StringBuilder(first).append(" HTTP/1.1\r\n");
+        headers.forEach((name, value) -> text.append(name).append(": ").append(value).append("\r\n"));
+        return text.toString();
+    }
+
+    /** An error and a close, or, where much is left unread, at least the close. */
+    private static void assertRefused(Socket client, String status, String what) throws IOException {
+        try {
+            Peer.Message answer = Peer.read(client);
+            assertEquals(status, status(answer), what);
+            assertEquals("close", answer.headers().get("connection"), what);
+            assertNull(Peer.read(client), what);
+        } catch (SocketException e) {
+            assertTrue(e.getMessage().contains("reset"), what + ": " + e);
+        }
+    }
+
+    /** What stands behind a refused message may be a part of it: one edge's body is another's request. */
+    @Test
+    void nothingBehindARefusedMessageIsRead() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        EdgeNode node = node(server);
+        String good = head(headers("t-2", "order", "20000"), "POST /api") + "Content-Length: 0\r\n\r\n";
+        String head = head(headers("t-1", "order", "20000"), "POST /api");
+        for (String bad : List.of(head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            head + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n",
+            head + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbook",
+            head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbook", head + "Content-Length: 4, 4\r\n\r\nbook",
+            head + "Content-Length: -4\r\n\r\n", head + "Content-Length: four\r\n\r\n",
+            head + "Content-Length: 99999999999999999999\r\n\r\n", head + "Transfer-Encoding: gzip\r\n\r\n",
+            head + "X-Trace-Id: t-3\r\n\r\n", head + "X-Odd name: x\r\n\r\n",
+            head.replace("X-Qos: order", "X-Qos: odd") + "\r\n",
+            head.replace("units=1", "units=1d") + "\r\n", head.replace("units=1", "units=9") + "\r\n",
+            head.replace("units=1", "units=1,units=2") + "\r\n", head.replace("spread=1", "spread=0x1") + "\r\n",
+            head.replace("20000", "1e3") + "\r\n", head.replace("20000", "900000000") + "\r\n",
+            head.replace("customer=00000", "customer=+0000") + "\r\n",
+            "nonsense\r\n\r\n", "\u0000\u0001\u0002\r\n\r\n")) {
+            Socket client = client(node);
+            send(client, bad + good);
+            assertRefused(client, "400", bad);
+        }
+        assertTrue(server.seen.isEmpty(), "none of these may reach an app server");
+    }
+
+    @Test
+    void aBodyTooLargeIsTurnedAwayUnread() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        EdgeNode node = node(server);
+        String head = head(headers("t-1", "order", "20000"), "POST /api");
+        for (String bad : List.of("Content-Length: 65537\r\n\r\n",
+            "Content-Length: 60000000\r\n\r\n" + "x".repeat(9_000),
+            "Transfer-Encoding: chunked\r\n\r\n" + ("1000\r\n" + "x".repeat(4096) + "\r\n").repeat(17))) {
+            Socket client = client(node);
+            send(client, head + bad);
+            assertRefused(client, "413", bad.substring(0, 24));
+        }
+        assertTrue(server.seen.isEmpty());
+    }
+
+    /** Without limits on time, connections that bring nothing would stay for ever. */
+    @Test
+    void silenceAndHalfARequestEndInTimeAndAnOpenRequestDoesNot() throws Exception {
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        Peer server = peer(m -> {
+            go.join();
+            m.answer(Peer.ok("", "x"));
+        });
+        EdgeNode node = node(server);
+        Socket busy = client(node);
+        order(busy, "t-1");
+        server.next();
+        Socket halfHead = client(node);
+        send(halfHead, "POST /api HTTP/1.1\r\nX-");
+        Socket halfBody = client(node);
+        send(halfBody, head(headers("t-2", "order", "20000"), "POST /api") + "Content-Length: 9\r\n\r\nhalf");
+        Socket silent = client(node);
+        assertRefused(halfHead, "408", "half a head");
+        assertRefused(halfBody, "408", "half a body");
+        assertNull(Peer.read(silent));
+        // The request has been open for longer than all of these.
+        go.complete(null);
+        assertEquals("200", status(Peer.read(busy)));
+        assertNull(Peer.read(busy), "then it is idle, and closes");
+    }
+
+    /** Requests sent ahead were once decoded as they came, and filled the memory from many connections. */
+    @Test
+    void whatIsSentAheadWaitsUnread() throws Exception {
+        int count = 400;
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        Peer server = peer(m -> {
+            go.join();
+            m.answer(Peer.ok("", m.headers().get("x-trace-id")));
+        });
+        EdgeNode node = node(server);
+        Socket ahead = client(node);
+        String body = "x".repeat(64 * 1024);
+        CompletableFuture<Void> written = CompletableFuture.runAsync(() -> {
+            try {
+                for (int i = 0; i < count; i++) {
+                    write(ahead, "POST /api", headers("a-" + i, "order", "20000"), body);
+                }
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        server.next();
+        Socket usual = client(node);
+        order(usual, "t-1");
+        server.next();
+        assertFalse(written.isDone(), "all of 25 MB was read ahead");
+        go.complete(null);
+        assertEquals("200", status(Peer.read(usual)));
+        for (int i = 0; i < count; i++) {
+            assertEquals("a-" + i, Peer.read(ahead).body());
+        }
+        written.join();
+    }
+
+    @Test
+    void bodiesShareOneBudgetAndSmallOnesHaveTheLastQuarter() {
+        ByteBudget budget = new ByteBudget(16 << 20);
+        assertTrue(budget.allows(64 * 1024));
+        budget.change(800_000);
+        assertFalse(budget.allows(64 * 1024));
+        assertTrue(budget.allows(200));
+        budget.change(300_000);
+        assertFalse(budget.allows(200));
+        budget.change(-1_100_000);
+        assertEquals(0, budget.used());
+    }
+}
--- a/src/test/java/thistlefall/node/Stage.java
+++ b/src/test/java/thistlefall/node/Stage.java
@@ -45,7 +45,8 @@
     }
 
     static String member(String id, String address, String phase, long since) {
-        return "{\"id\":\"" + id + "\",\"host_port\":\"" + address + "\",\"locality\":\"a\",\"flavor\":\"m\",\"cell\":1,"
+        return "{\"id\":\"" + id + "\",\"host_port\":\"" + address + "\","
+            + "\"locality\":\"a\",\"flavor\":\"m\",\"cell\":1,"
             + "\"phase\":\"" + phase + "\",\"size\":1.0,\"up_since_ms\":" + since + "}";
     }
 
