Customers and servers that say nothing any more are forgotten; an address has one owner

Who started last at an address has it, the module hears that the one before is gone. Each send ends in one outcome.

--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -29,6 +29,8 @@
     private static final double Q_SHARE = 0.3, Q_LEVEL = 0.7, MIN_SHARE = 0.02, MIN_LEVEL = 0.25;
     /** Weight of an answer in a server's averages; memory, in seconds, of these and of the others' use. */
     private static final double ALPHA = 0.12, ALPHA_ERR = 0.2, FORGIVE_S = 4, OTHERS_S = 3;
+    /** How long what may come back is remembered: a customer after its last use, a server after its end. */
+    private static final long REMEMBER = 30 * SECOND;
     /** How many servers each of as many gateways as servers looks at for a request; two are the least. */
     private static final int LOOK = 3;
     /** Further attempts per first one, how many may be saved up; the usual spans that a first one needs. */
@@ -85,18 +87,25 @@
         if (kind == ListKind.FAILED) {
             out.watchList();
         } else if (kind != ListKind.DELTA) {
-            List<String> named = entries.stream().map(Server::id).toList();
-            servers.values().stream().filter(b -> !named.contains(b.id)).forEach(b -> b.ready = false);
+            Set<String> named = entries.stream().map(Server::id).collect(Collectors.toSet());
+            servers.values().stream().filter(b -> !named.contains(b.id)).forEach(Backend::leave);
         }
         for (Server entry : entries) {
             Backend known = servers.get(entry.id());
+            if (entry.readiness() == Readiness.GONE) {
+                if (known != null) { known.leave(); }
+                continue;
+            }
             boolean anew = known == null || known.entry.startedAt() != entry.startedAt();
             if (known != null) { known.ready = false; }
             Backend backend = anew ? new Backend(entry) : known;
             servers.put(entry.id(), backend);
             backend.entry = entry;
             backend.ready = entry.readiness() == Readiness.READY;
+            backend.goneAt = 0;
         }
+        // Ids are ever new: what is gone is forgotten, but for the attempts that it still has.
+        servers.values().removeIf(Backend::blank);
         listed = servers.values().stream().filter(b -> b.ready).toList();
         control.boundLevel();
         dispatch();
@@ -113,6 +122,7 @@
         lane.arrivals++;
         Job job = new Job(request, customer, lane);
         jobs.put(request.id(), job);
+        customer.jobs++;
         if (job.hopeless()) {
             // Some come with hardly any time left: the next look at the queue would be too late.
             giveUp(job);
@@ -241,10 +251,14 @@
         if (now >= nextControl) {
             nextControl += SECOND;
             control.interval();
+            customers.values().removeIf(Customer::blank);
         }
         dispatch();
     }
 
+    /** How many customers and servers are remembered. */
+    int remembered() { return customers.size() + servers.size(); }
+
     private record Call(Customer customer, long window, double amount, Job job, long at) { }
 
     /** Spreads numbers that lie close together over all long values. */
@@ -262,7 +276,7 @@
         /** The quota's store as estimated here; the others' use: its rate, and what was foreseen of it. */
         private double store, othersRate, foreseen, unpushed, ceiling;
         private boolean deaf;
-        private int open;
+        private int open, jobs, asked;
 
         Customer(long key, Request first) {
             this.key = key;
@@ -294,6 +308,14 @@
             ceiling = Math.min(plan.ceilingBurst() / gateways, ceiling + s * plan.ceilingRate() / gateways);
         }
 
+        /** Whether this says no more than nothing does: customers are ever new, and many come only once. */
+        boolean blank() {
+            long idle = now - Math.max(usedAt, heard);
+            if (jobs + asked > 0 || idle < 2 * span + REMEMBER || active.contains(this)) { return false; }
+            refill();
+            return idle * NANO * plan.rate() >= plan.burst() && ceiling >= plan.ceilingBurst() / gateways;
+        }
+
         /** Decides at once on fresh news; else the units go to the counter first and the total decides. */
         void admit(Job job) {
             refill();
@@ -382,10 +404,12 @@
             long name = mix(mix(key) + index) >>> 1;
             Call call = new Call(this, window, amount, job, now);
             calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(call);
+            asked++;
             out.count(name, amount, 2 * span);
         }
 
         void counted(Call call, Outcome outcome, double total) {
+            asked--;
             if (outcome.provesNeverRan()) {
                 unpushed += call.amount;
                 told[place] -= call.amount;
@@ -766,7 +790,7 @@
         private boolean ready, shunned;
         private final LinkedHashSet<Job> outstanding = new LinkedHashSet<>();
         private double latency, errors, load;
-        private long heard = now, coldAt = now, reported = born;
+        private long heard = now, coldAt = now, reported = born, goneAt;
 
         Backend(Server entry) {
             id = entry.id();
@@ -775,6 +799,13 @@
             errors = zoneErrors.getOrDefault(entry.zone(), 0.0);
         }
 
+        void leave() {
+            ready = false;
+            goneAt = goneAt > 0 ? goneAt : now;
+        }
+
+        boolean blank() { return goneAt > 0 && now - goneAt >= REMEMBER && outstanding.isEmpty(); }
+
         boolean cold() { return entry.startedAt() > 0 && now - entry.startedAt() < cfg.rules().coldSpan(); }
 
         double warmth() {
@@ -920,7 +951,8 @@
 
     /** The end of a request here; what it took is given back if it was never sent. */
     private void forget(Job job) {
-        jobs.remove(job.request.id());
+        if (jobs.remove(job.request.id()) == null) { return; }
+        job.customer.jobs--;
         if (job.attempts == 0 && job.taken) {
             job.customer.ceiling += job.request.units();
             if (job.inQuota) { job.customer.take(-job.request.units()); }
--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -17,6 +17,7 @@
 import thistlefall.Ports.ListKind;
 import thistlefall.Ports.Outcome;
 import thistlefall.Ports.Result;
+import thistlefall.Ports.Server;
 
 /**
  * A real edge node: carries what happens on the sockets to the decision module and its actions back. All of it
@@ -118,6 +119,8 @@
             trouble("the module failed", e);
             if (about != null) {
                 fail(about);
+                // The module must not go on counting it; an attempt that is out still ends.
+                loop.execute(() -> event(null, now -> gateway.clientGone(now, about.request.id())));
             }
         } finally {
             inside = false;
@@ -131,8 +134,8 @@
 
     /** The list of app servers, or changes to it. */
     void list(Config.Roll roll, ListKind kind) {
-        pool.update(roll, kind != ListKind.DELTA);
-        event(null, now -> gateway.list(now, kind, roll.members().stream().map(Config.Member::server).toList()));
+        List<Server> told = pool.update(roll, kind != ListKind.DELTA);
+        event(null, now -> gateway.list(now, kind, told));
     }
 
     /** Whether discovery has been heard, or has been silent for so long that the known list must do. */
@@ -206,9 +209,9 @@
     public void send(String id, String server, long patience) {
         OpenRequest of = open.get(id);
         if (of == null || of.answered || of.attemptOut) {
-            if (of != null) {
-                trouble("an attempt that may not be", new IllegalStateException(id));
-            }
+            // It may not go out, but the module counts it as out until it hears how it ended.
+            Result moot = new Result(id, Outcome.NOT_SENT, 0, server, of == null || of.answered, 0, 0, List.of());
+            loop.execute(() -> event(null, now -> gateway.attemptEnded(now, moot)));
             return;
         }
         of.attempts++;
--- a/src/main/java/thistlefall/node/ServerPool.java
+++ b/src/main/java/thistlefall/node/ServerPool.java
@@ -19,13 +19,16 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import thistlefall.Ports.Outcome;
 import thistlefall.Ports.Readiness;
+import thistlefall.Ports.Server;
 
 /** Connections to app servers, one request on each at a time, and the attempts on them with their outcomes. */
 final class ServerPool {
@@ -67,14 +70,16 @@
 
     /** One run of an app server at one address; a restart or a move makes a new one. */
     private static final class Endpoint {
+        private final Server server;
         private final InetSocketAddress address;
         private final long startedAt;
         private final ArrayDeque<Connection> idle = new ArrayDeque<>();
         private boolean retired;
 
         Endpoint(Config.Member member) {
+            server = member.server();
             address = member.address();
-            startedAt = member.server().startedAt();
+            startedAt = server.startedAt();
         }
 
         /** The connection used last, so that the others may close; if it is too fresh, the one that is least so. */
@@ -96,33 +101,61 @@
         }
     }
 
-    /** Follows the list: connections to what is gone, has moved or has restarted are of no more use. */
-    void update(Config.Roll roll, boolean whole) {
+    /**
+     * Follows the list: connections to what is gone, drains, has moved or has restarted are of no more use.
+     * Returns the list as the module should see it. An address belongs to one app server: who started there
+     * last has it, and the one before is gone, whether or not discovery has told so yet. Under the old id the
+     * new one would be reached unknown, with neither its cold start nor its drain.
+     */
+    List<Server> update(Config.Roll roll, boolean whole) {
+        List<Server> told = new ArrayList<>();
         Set<String> named = new HashSet<>();
         for (Config.Member member : roll.members()) {
-            String id = member.server().id();
-            named.add(id);
-            Endpoint known = endpoints.get(id);
-            boolean gone = member.server().readiness() == Readiness.GONE;
+            Server server = member.server();
+            named.add(server.id());
+            boolean ready = server.readiness() == Readiness.READY;
+            Endpoint holder = ready ? holder(member) : null;
+            if (holder != null && holder.startedAt > server.startedAt()) {
+                ready = false;
+                server = gone(server);
+            } else if (holder != null) {
+                told.add(gone(holder.server));
+                drop(holder);
+            }
+            told.add(server);
+            Endpoint known = endpoints.get(server.id());
             boolean same = known != null && known.address.equals(member.address())
-                && known.startedAt == member.server().startedAt();
-            if (known != null && (gone || !same)) {
-                known.retire();
-                endpoints.remove(id);
+                && known.startedAt == server.startedAt();
+            if (known != null && (!ready || !same)) {
+                drop(known);
             }
-            if (!gone && !same) {
-                endpoints.put(id, new Endpoint(member));
+            if (ready && !same) {
+                endpoints.put(server.id(), new Endpoint(member));
             }
         }
         if (whole) {
-            endpoints.entrySet().removeIf(entry -> {
-                boolean left = !named.contains(entry.getKey());
-                if (left) {
-                    entry.getValue().retire();
-                }
-                return left;
-            });
+            List.copyOf(endpoints.values()).stream().filter(e -> !named.contains(e.server.id())).forEach(this::drop);
         }
+        return told;
+    }
+
+    private Endpoint holder(Config.Member of) {
+        for (Endpoint endpoint : endpoints.values()) {
+            if (endpoint.address.equals(of.address()) && !endpoint.server.id().equals(of.server().id())) {
+                return endpoint;
+            }
+        }
+        return null;
+    }
+
+    private static Server gone(Server server) {
+        return new Server(server.id(), server.size(), server.zone(), server.cell(), server.kind(), Readiness.GONE,
+            server.startedAt());
+    }
+
+    private void drop(Endpoint endpoint) {
+        endpoint.retire();
+        endpoints.remove(endpoint.server.id());
     }
 
     /** Begins an attempt; its outcome is told later, never from within this call. */
@@ -137,10 +170,14 @@
         Connection ready = endpoint.rested();
         if (ready != null) {
             ready.write(attempt);
-            return;
+        } else {
+            connect(endpoint, attempt);
         }
-        connections++;
+    }
+
+    private void connect(Endpoint endpoint, Attempt attempt) {
         ChannelFuture connecting = bootstrap.connect(endpoint.address);
+        connections++;
         connecting.channel().closeFuture().addListener(closed -> connections--);
         connecting.addListener(done -> {
             if (!done.isSuccess() || endpoint.retired) {
--- a/src/test/java/thistlefall/MechanismTest.java
+++ b/src/test/java/thistlefall/MechanismTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import thistlefall.Ports.Outcome;
 import thistlefall.Ports.Plan;
+import thistlefall.Ports.Readiness;
 
 /** The laws and the counter rule on their own terms. */
 class MechanismTest {
@@ -302,4 +303,48 @@
         host.request(SAFE, 0);
         assertEquals(1, host.sent.size());
     }
+
+    /** Ever new customers once grew the table for as long as the gateway ran. */
+    @Test
+    void aCustomerWhoseStoresAreFullAgainIsForgottenAndNoOther() {
+        Host host = new Host(new Plan(1, 4, 0, 1, 0, 1, 2, 8, 4), 1, 0, false).servers(2);
+        host.pass(10_000 * Host.MS);
+        for (long customer = 0; customer < 300; customer++) {
+            host.end(host.request(Host.SAFE, 0, customer, 1, host.now + 3000 * Host.MS), Outcome.OK);
+        }
+        String open = host.request(Host.UNSAFE, 0, 1000, 1, host.now + 90_000 * Host.MS);
+        host.end(host.request(Host.SAFE, 0, 1001, 4, host.now + 3000 * Host.MS), Outcome.OK);
+        host.pass(2_000 * Host.MS);
+        assertEquals(304, host.gateway.remembered());
+        String early = host.request(Host.SAFE, 0, 1001, 4, host.now + 3000 * Host.MS);
+        assertTrue(host.refused.contains(early), "what is used up must not be forgotten");
+        host.pass(50_000 * Host.MS);
+        assertEquals(3, host.gateway.remembered(), "two servers and the customer whose request is open");
+        host.end(open, Outcome.OK);
+        host.pass(50_000 * Host.MS);
+        assertEquals(2, host.gateway.remembered());
+        String later = host.request(Host.SAFE, 0, 1001, 4, host.now + 3000 * Host.MS);
+        assertEquals(1, host.attempts(later).size());
+    }
+
+    /** Ids of servers are ever new too; one that is gone is kept only for the attempts it still has. */
+    @Test
+    void aServerThatIsGoneIsForgottenWithItsLastAttempt() {
+        Host host = new Host(Host.FREE, 1, 0);
+        host.server("a", 0, Readiness.READY, 0);
+        String id = host.request(Host.UNSAFE, 0, 1, 1, host.now + 90_000 * Host.MS);
+        for (int i = 0; i < 100; i++) {
+            host.server("n" + i, 0, Readiness.READY, 0);
+            host.server("n" + i, 0, Readiness.GONE, 0);
+        }
+        assertEquals(102, host.gateway.remembered(), "for a while they might come back");
+        host.server("a", 0, Readiness.GONE, 0);
+        host.pass(31_000 * Host.MS);
+        host.server("b", 0, Readiness.READY, 0);
+        assertEquals(3, host.gateway.remembered(), "the customer, b, and a with its attempt");
+        host.end(id, Outcome.RESET);
+        assertTrue(host.failed.contains(id));
+        host.server("never", 0, Readiness.GONE, 0);
+        assertEquals(2, host.gateway.remembered());
+    }
 }
--- a/src/test/java/thistlefall/node/EdgeNodeTest.java
+++ b/src/test/java/thistlefall/node/EdgeNodeTest.java
@@ -207,6 +207,35 @@
         assertEquals("new", Peer.read(client).body());
     }
 
+    /** Reached under an old id, a new app server would get work after its own drain was told. */
+    @Test
+    void anAddressBelongsToTheAppServerThatStartedThereLast() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        List<CompletableFuture<Void>> go = List.of(new CompletableFuture<>(), new CompletableFuture<>());
+        discovery = peer(m -> {
+            StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for (int i = 0; i < 2; i++) {
+                go.get(i).join();
+                String line = "{\"revision\":" + (8 + i) + ",\"complete\":false,\"members\":["
+                    + member("s-1", server.address(), i == 0 ? "Ready" : "Terminating",
+                        System.currentTimeMillis() - 60_000) + "]}\n";
+                m.answer(head + Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+                head.setLength(0);
+            }
+        });
+        EdgeNode node = node(server);
+        for (int i = 0; i < 2; i++) {
+            assertEquals("200", ask(client(node), "t-" + i));
+            server.next();
+            go.get(i).complete(null);
+            assertNotNull(server.ended.poll(60, TimeUnit.SECONDS), "its connections are of no more use");
+        }
+        Socket client = client(node);
+        write(client, "POST /api", headers("t-2", "order", "1500"), "");
+        assertEquals("503", status(Peer.read(client)));
+        assertTrue(server.seen.isEmpty());
+    }
+
     /** The body of an error once was read as a list, because a close does not stop what was read already. */
     @Test
     void anErrorOfDiscoveryIsNoList() throws Exception {
