--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -17,8 +17,12 @@
     private static final long TICK = 10 * MS;
     /** How often fresh use is pushed, and for how long no call is answered by a counter that is silent. */
     private static final long PUSH = SECOND / 4, SILENT_AFTER = SECOND / 2;
-    /** Calls to the counter a second at first; their growth, faster by the second, and its step down. */
-    private static final double CALLS_START = 2, CALLS_UP = 0.02, CALLS_MOST_UP = 0.25, CALLS_DOWN = 0.7;
+    /** Calls to the counter a second at first, by all gateways and by one at least: few leave all to luck. */
+    private static final double CALLS_START = 100, CALLS_LEAST = 2;
+    /** Their growth, faster by the second, and its step down. */
+    private static final double CALLS_UP = 0.02, CALLS_MOST_UP = 0.25, CALLS_DOWN = 0.7, CALLS_BACK = 0.5;
+    /** So many calls in a row without an answer, and for so long, are a silent counter and no accident. */
+    private static final int UNANSWERED = 3;
     /** The operator's limit on concurrency: requests in flight for each listed server, over all gateways. */
     private static final double OPEN_PER_SERVER = 6;
     /** The estimator's memory of some 50 intervals, and the bound on its trace in a quiet spell. */
@@ -36,6 +40,9 @@
     /** Further attempts per first one, how many may be saved up; the usual spans that a first one needs. */
     private static final double RETRY_RATIO = 0.2, RETRY_MOST = 20, MARGIN = 1.5;
 
+    /** A connection that broke tells nothing of load: as slow it would close the loop on all other work. */
+    private static final Set<Outcome> NO_SIGN_OF_LOAD =
+        EnumSet.of(Outcome.RESET, Outcome.CANCELLED, Outcome.NOT_SENT);
     /** The values of a load report that tell how busy a server is; their life in seconds; how many stay. */
     private static final Set<String> LOADS = Set.of("waiting", "active", "cpu");
     private static final int REPORT_S = 1, RECENT = 6;
@@ -55,7 +62,9 @@
     private int inFlight, heardCount;
     private double retryTokens = RETRY_MOST, virtualTime, sentWork, usualStake, usualLoad;
     private boolean silent, denied;
-    private double callRate = CALLS_START, callTokens;
+    private final double callStart;
+    private double callRate, callTokens;
+    private int unanswered;
     /** For each plan the units taken and those of them told to the counter, as of late. */
     private final double[] taken, told;
     /** Customers with something to push. */
@@ -76,7 +85,9 @@
         control = new Control();
         answeredAt = now;
         tokensAt = now;
-        callTokens = random.nextDouble(CALLS_START);
+        callStart = Math.max(CALLS_LEAST, CALLS_START / cfg.siblings());
+        callRate = callStart;
+        callTokens = random.nextDouble(callRate);
         nextControl = now + SECOND;
         out.timer(0, TICK);
         if (cfg.limits().askForList()) { out.watchList(); }
@@ -185,17 +196,20 @@
         if (call == null) { return; }
         if (pending.isEmpty()) { calls.remove(name); }
         boolean answered = outcome == Outcome.OK;
-        boolean slow = !answered || now - call.at > cfg.counter().timeout() / 3;
-        // A full line outlasts the time-out, and no call is answered: back off at the first long wait.
+        boolean slow = now - call.at > cfg.counter().timeout() / 3 || outcome == Outcome.FULL;
+        // A full line outlasts the time-out, and no call is answered: back off at the first long wait, but
+        // not to nothing while answers come. A line that broke tells nothing of the counter's load.
         if (slow && now - slowedAt > PUSH) {
-            callRate = Math.max(1, callRate * CALLS_DOWN);
+            callRate = Math.max(answered ? callStart / 4 : 1, callRate * CALLS_DOWN);
             slowedAt = now;
-        } else if (!slow && denied) {
+        } else if (answered && !slow && denied) {
             denied = false;
             callRate *= 1 + Math.min(CALLS_MOST_UP, CALLS_UP * (now - slowedAt) * NANO);
+            callRate = Math.max(callRate, Math.min(callStart, callRate + CALLS_BACK));
         }
         answeredAt = answered ? now : answeredAt;
-        if (silent != now - answeredAt > SILENT_AFTER) {
+        unanswered = answered ? 0 : unanswered + 1;
+        if (silent != (unanswered >= UNANSWERED && now - answeredAt > SILENT_AFTER)) {
             silent = !silent;
             out.log(silent ? "counter silent: quotas divided over gateways" : "counter answers again");
         }
@@ -206,7 +220,7 @@
     /** Takes a call from the budget: the emptier that is, the more must be at stake, in usual stakes. */
     private boolean mayCall(double stake) {
         double rate = silent ? 1 : callRate;
-        double most = Math.max(2 * CALLS_START, rate);
+        double most = Math.max(2 * CALLS_LEAST, rate);
         callTokens = Math.min(most, callTokens + rate * (now - tokensAt) * NANO);
         tokensAt = now;
         boolean may = callTokens >= 1 && stake >= 2 * (1 - callTokens / most);
@@ -340,7 +354,7 @@
                 job.asking = true;
                 call(job);
             } else {
-                if (gateways > 1 && now - heard > span) { divide(); }
+                divide();
                 boolean doubtful = deaf && job.request.repeat() && plan.burst() / gateways < units;
                 decide(job, doubtful ? Double.MAX_VALUE : othersRate * PUSH * NANO);
             }
@@ -348,6 +362,7 @@
 
         /** Without news the quota is divided; parts under one request would refuse all who come so rarely. */
         private void divide() {
+            if (gateways <= 1 || now - heard <= span) { return; }
             if (!deaf && store > 0) {
                 store = Math.max(store / gateways, Math.min(store, cfg.counter().largest()));
             }
@@ -430,6 +445,7 @@
             if (job.over) {
                 forget(job);
             } else {
+                if (!answered) { divide(); }
                 decide(job, answered ? 0 : othersRate * PUSH * NANO);
             }
         }
@@ -535,7 +551,7 @@
                 latencySum += (now - job.arrived) * NANO;
                 waitSum += (job.sentAt - job.arrived) * NANO;
                 services.add(took);
-            } else if (result.outcome() != Outcome.CANCELLED && result.outcome() != Outcome.NOT_SENT) {
+            } else if (!NO_SIGN_OF_LOAD.contains(result.outcome())) {
                 // A failure counts as slow, never as fast: errors must not open the concurrency loop.
                 services.add(Math.max(took, 2 * spec.aim() * NANO));
             }
