Refusals say when to come back; the rehearsal's last connections end without a word

PROTOCOL lets any refusal carry Retry-After; caps.retry-after (false here) only says that clients are not promised to look at it. The module now advises on each refusal: the quota's or ceiling's time, or by Little's law when the queue will be gone, never above max-retry-after. Answers stay immediate.

--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -385,8 +385,7 @@
         }
 
         private void refuse(Job job, double retryAfter) {
-            double most = cfg.limits().retryAfter() ? cfg.limits().maxRetryAfter() : 0;
-            out.refuse(job.request.id(), (long) Math.max(0, Math.min(most, retryAfter * SECOND)));
+            out.refuse(job.request.id(), advice(retryAfter));
             forget(job);
         }
 
@@ -987,13 +986,22 @@
         RequestClass spec = job.lane.spec;
         if (job.mayHaveRunSince == 0 || spec.repeat() == Repeat.SAFE
             || spec.repeat() == Repeat.KEYED && spec.group() == Group.ALL) {
-            out.refuse(job.request.id(), 0);
+            // By Little's law, when what is queued now will have been sent.
+            out.refuse(job.request.id(), advice(job.lane.service * (1 + job.lane.queue.size() / control.level)));
         } else {
             out.fail(job.request.id());
         }
         forget(job);
     }
 
+    /**
+     * When to come back, as long as a client may heed it. Said whether or not the settings promise that clients
+     * look at it: who does not is no worse off, and one that comes at once only finds the same queue.
+     */
+    private long advice(double seconds) {
+        return (long) Math.max(0, Math.min(cfg.limits().maxRetryAfter(), seconds * SECOND));
+    }
+
     /** The end of a request here; what it took is given back if it was never sent. */
     private void forget(Job job) {
         if (jobs.remove(job.request.id()) == null) { return; }
--- a/src/main/java/thistlefall/node/Rehearsal.java
+++ b/src/main/java/thistlefall/node/Rehearsal.java
@@ -103,7 +103,7 @@
             Transport.listening(loop, address).childHandler(handlers(() -> new ChannelHandler[] {
                 new HttpServerCodec(), new StandIn()})).bind(address).sync();
             long started = i > 0 ? 0 : TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
-            members.add(new Config.Member(new Server("s" + i, 1, i % Math.max(1, config.names().zones().size()), i, 0,
+            members.add(new Config.Member(new Server("rehearsal-" + i, 1, i % Math.max(1, config.names().zones().size()), i, 0,
                 Readiness.READY, started), address));
         }
         SocketAddress peer = members.get(0).address();
@@ -186,6 +186,12 @@
             }
         }
 
+        /** The node goes first, with connections open: their ends are no news. */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+
         private void answer(ChannelHandlerContext context, HttpResponseStatus status, byte[] body) {
             DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                 Unpooled.wrappedBuffer(body));
