--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -987,7 +987,8 @@
         if (job.mayHaveRunSince == 0 || spec.repeat() == Repeat.SAFE
             || spec.repeat() == Repeat.KEYED && spec.group() == Group.ALL) {
             // By Little's law, when what is queued now will have been sent.
-            out.refuse(job.request.id(), advice(job.lane.service * (1 + job.lane.queue.size() / control.level)));
+            Lane lane = job.lane;
+            out.refuse(job.request.id(), advice(lane.service * (1 + lane.queue.size() / control.level)));
         } else {
             out.fail(job.request.id());
         }
@@ -995,8 +996,8 @@
     }
 
     /**
-     * When to come back, as long as a client may heed it. Said whether or not the settings promise that clients
-     * look at it: who does not is no worse off, and one that comes at once only finds the same queue.
+     * When to come back, as long as a client may heed it. Said whether or not the settings promise that
+     * clients look at it: who does not is no worse off, and who comes at once only finds the same queue.
      */
     private long advice(double seconds) {
         return (long) Math.max(0, Math.min(cfg.limits().maxRetryAfter(), seconds * SECOND));
