Beyond a sixth of the descriptors the longest idle client connection ends

At fault: Session.limit alone ended idle sessions, and makeRoom looks at the node's bound of 192 only, which those clients never reach.

Now a session's first request ends the longest idle session once more than a sixth of the descriptors have asked (ClientServer.thinOut). It could hurt where more usual clients than that take turns: each connects again.

--- a/src/main/java/thistlefall/node/ClientServer.java
+++ b/src/main/java/thistlefall/node/ClientServer.java
@@ -60,7 +60,7 @@
     private final Config config;
     private final ByteBudget budget;
     private final Set<Session> sessions = new LinkedHashSet<>();
-    private final int most;
+    private final int most, mostKept;
     private Channel listening;
     private boolean draining;
     private CompletableFuture<Void> drained;
@@ -72,6 +72,7 @@
         this.config = config;
         // Half of the descriptors; app servers have three eighths, the rest is the process's own.
         most = Math.max(8, config.sockets() / 2);
+        mostKept = Math.max(4, config.sockets() / 6);
         loop.scheduleAtFixedRate(() -> List.copyOf(sessions).forEach(Session::limit), SWEEP, SWEEP,
             TimeUnit.NANOSECONDS);
     }
@@ -145,6 +146,34 @@
         return least != null;
     }
 
+    /**
+     * Ends the connection that has been idle longest among those that have asked, once these are many. Clients
+     * hold a third of the descriptors at most: where some ask once and keep their connection, the others would
+     * find none left long before an idle one's time is up, and nothing of that would be seen here but a calm
+     * node. It covers crowds of such clients and those that open a connection for each request; it could hurt
+     * where so many usual clients take turns, each of which then connects again.
+     */
+    private void thinOut() {
+        Session longest = null;
+        int kept = 0;
+        for (Session session : sessions) {
+            if (session.asked && !session.closing) {
+                kept++;
+                boolean free = session.isBetween() && (longest == null || session.since - longest.since < 0);
+                longest = free ? session : longest;
+            }
+        }
+        if (kept > mostKept && longest != null) {
+            longest.closing = true;
+            longest.channel.close();
+        }
+    }
+
+    /** How many connections are open. */
+    int connections() throws Exception {
+        return loop.submit(sessions::size).get();
+    }
+
     private void finishDrain() {
         if (drained != null && sessions.isEmpty()) {
             drained.complete(null);
@@ -404,9 +433,9 @@
             ByteBuf content = body.take();
             head = null;
             begun = false;
-            asked = true;
             keepAlive = HttpUtil.isKeepAlive(whole);
             if (whole.uri().equals("/_health")) {
+                asked = true;
                 content.release();
                 health(whole.method());
                 return;
@@ -414,6 +443,10 @@
             try {
                 OpenRequest taken = read(whole, content, new Reply());
                 current = taken;
+                if (!asked) {
+                    asked = true;
+                    thinOut();
+                }
                 if (!node.take(taken)) {
                     current = null;
                     throw new Refusal(HttpResponseStatus.CONFLICT, "a request of this id is open");
--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -70,6 +70,11 @@
         return clients.address();
     }
 
+    /** How many clients' connections are open. */
+    int connections() throws Exception {
+        return clients.connections();
+    }
+
     /**
      * Goes over to the addresses of a new configuration. Clients, attempts, the module and its list stay as they
      * are, and all else in the file is for the next start.
--- a/src/test/java/thistlefall/node/RudeClientTest.java
+++ b/src/test/java/thistlefall/node/RudeClientTest.java
@@ -154,4 +154,20 @@
         budget.change(-1_100_000);
         assertEquals(0, budget.used());
     }
+
+    /** Clients that keep a connection after one request once left the others none. */
+    @Test
+    void ofManyIdleConnectionsTheLongestIdleEnds() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "done")));
+        EdgeNode node = start(config(member("s-0", server.address(), "Ready", 0)).replace("1024", "96"));
+        Socket first = client(node);
+        for (int i = 0; i < 30; i++) {
+            assertEquals("200", ask(i == 0 ? first : client(node), "k-" + i));
+        }
+        assertTrue(node.connections() <= 17, "connections kept: " + node.connections());
+        assertEquals(-1, first.getInputStream().read());
+        Socket late = client(node);
+        assertEquals("200", ask(late, "k-30"));
+        assertEquals("200", ask(late, "k-31"));
+    }
 }
