--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -7,8 +7,9 @@
 
 /**
  * All decisions of one gateway: quotas, fair queue, controllers, choice of server, attempts, final answers.
- * Its types, events and actions stand in {@code Ports.java}. The mechanism is that of the Proteus paper
- * (see docs/design.md); each departure says at its place what it guards against.
+ * Its types, events and actions stand in {@code Ports.java}. The mechanism is that of the Proteus paper,
+ * "Non-intrusive Performance Management for Computer Services"; each departure says at its place what it
+ * guards against.
  */
 public final class Gateway implements Ports.Events {
     private static final long MS = 1_000_000L, SECOND = 1_000 * MS;
