Too many idle client connections: the answer says close, none is ended unasked

At fault, as a guess from reading, not caught in the act: thinOut ended the longest idle connection, and where nearly all are busy the only idle one is one that its client is just writing to; a crossed request is sent once more only once.

Now the answer itself says close where a sixth of the descriptors stand idle (ClientServer.crowded), which crosses nothing, the way a drain does it. Busy connections no longer count.

--- a/src/main/java/thistlefall/node/ClientServer.java
+++ b/src/main/java/thistlefall/node/ClientServer.java
@@ -147,26 +147,18 @@
     }
 
     /**
-     * Ends the connection that has been idle longest among those that have asked, once these are many. Clients
-     * hold a third of the descriptors at most: where some ask once and keep their connection, the others would
-     * find none left long before an idle one's time is up, and nothing of that would be seen here but a calm
-     * node. It covers crowds of such clients and those that open a connection for each request; it could hurt
-     * where so many usual clients take turns, each of which then connects again.
+     * Whether so many connections stand idle that none more is kept after its answer. Clients hold a third of
+     * the descriptors at most: where some ask once and keep their connection, the others would find none left
+     * long before an idle one's time is up, and nothing of that would be seen here but a calm node. The answer
+     * says so, since to end an idle one unasked may cross its client's next request. It covers crowds of such
+     * clients; it could hurt where so many usual clients take turns, each of which then connects again.
      */
-    private void thinOut() {
-        Session longest = null;
-        int kept = 0;
+    private boolean crowded() {
+        int idle = 0;
         for (Session session : sessions) {
-            if (session.asked && !session.closing) {
-                kept++;
-                boolean free = session.isBetween() && (longest == null || session.since - longest.since < 0);
-                longest = free ? session : longest;
-            }
-        }
-        if (kept > mostKept && longest != null) {
-            longest.closing = true;
-            longest.channel.close();
+            idle += session.asked && session.isBetween() && !session.closing ? 1 : 0;
         }
+        return idle >= mostKept;
     }
 
     /** How many connections are open. */
@@ -433,9 +425,9 @@
             ByteBuf content = body.take();
             head = null;
             begun = false;
+            asked = true;
             keepAlive = HttpUtil.isKeepAlive(whole);
             if (whole.uri().equals("/_health")) {
-                asked = true;
                 content.release();
                 health(whole.method());
                 return;
@@ -443,10 +435,6 @@
             try {
                 OpenRequest taken = read(whole, content, new Reply());
                 current = taken;
-                if (!asked) {
-                    asked = true;
-                    thinOut();
-                }
                 if (!node.take(taken)) {
                     current = null;
                     throw new Refusal(HttpResponseStatus.CONFLICT, "a request of this id is open");
@@ -483,7 +471,7 @@
                 answer.headers().set(HttpHeaderNames.RETRY_AFTER,
                     BigDecimal.valueOf((retryAfter + MS - 1) / MS, 3).toPlainString());
             }
-            closing = !keepAlive || draining;
+            closing = !keepAlive || draining || crowded();
             if (closing) {
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
