--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 GW_CONFIG=deploy/archive.json java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:C1MaxInlineSize=8 \
   -XX:C1MaxInlineLevel=2 -Dio.netty.jfr.enabled=false \
-  -XX:ArchiveClassesAtExit=target/thistlefall.jsa -jar target/thistlefall.jar serve > target/archive.log 2>&1 &
+  -XX:ArchiveClassesAtExit=target/rushpin.jsa -jar target/rushpin.jar serve > target/archive.log 2>&1 &
 node=$!
 request() {
   exec 3<> /dev/tcp/127.0.0.1/18093 || return 1
--- a/src/main/java/thistlefall/node/Main.java
+++ b/src/main/java/rushpin/cli/Main.java
@@ -1,11 +1,14 @@
-package thistlefall.node;
+package rushpin.cli;
 
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
-import thistlefall.drill.Drill;
+import rushpin.drill.Drill;
+import rushpin.node.Config;
+import rushpin.node.EdgeNode;
+import rushpin.node.Rehearsal;
 
 /** The program: {@code serve} runs a real edge node, {@code drill} the decisions on the simulator's wire. */
 public final class Main {
@@ -21,7 +24,7 @@
         switch (args.length == 1 ? args[0] : "") {
             case "serve" -> serve(System.getenv("GW_CONFIG"));
             case "drill" -> Drill.main(args);
-            default -> exit(2, "usage: thistlefall.jar serve|drill");
+            default -> exit(2, "usage: rushpin.jar serve|drill");
         }
     }
 
--- a/src/main/java/thistlefall/drill/Drill.java
+++ b/src/main/java/rushpin/drill/Drill.java
@@ -1,4 +1,4 @@
-package thistlefall.drill;
+package rushpin.drill;
 
 import java.io.BufferedReader;
 import java.io.BufferedWriter;
@@ -15,7 +15,7 @@
     /** Runs the drill; the only argument is the word {@code drill}. */
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("drill")) {
-            System.err.println("usage: thistlefall.jar drill");
+            System.err.println("usage: rushpin.jar drill");
             System.exit(2);
         }
         var in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8), 1 << 16);
--- a/src/main/java/thistlefall/drill/MalformedInput.java
+++ b/src/main/java/rushpin/drill/MalformedInput.java
@@ -1,4 +1,4 @@
-package thistlefall.drill;
+package rushpin.drill;
 
 /** Input that is not of the wire; the message names the line and what is wrong with it. */
 final class MalformedInput extends Exception {
--- a/src/main/java/thistlefall/drill/WireReader.java
+++ b/src/main/java/rushpin/drill/WireReader.java
@@ -1,4 +1,4 @@
-package thistlefall.drill;
+package rushpin.drill;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -6,14 +6,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import thistlefall.Gateway;
-import thistlefall.Ports.ListKind;
-import thistlefall.Ports.Outcome;
-import thistlefall.Ports.Readiness;
-import thistlefall.Ports.Request;
-import thistlefall.Ports.Result;
-import thistlefall.Ports.Server;
-import thistlefall.SettingsReader;
+import rushpin.gateway.Gateway;
+import rushpin.gateway.Ports.ListKind;
+import rushpin.gateway.Ports.Outcome;
+import rushpin.gateway.Ports.Readiness;
+import rushpin.gateway.Ports.Request;
+import rushpin.gateway.Ports.Result;
+import rushpin.gateway.Ports.Server;
+import rushpin.gateway.SettingsReader;
 
 /** Reads batches of the wire, hands each event to the gateway concerned and has the reply written. */
 final class WireReader {
--- a/src/main/java/thistlefall/drill/WireWriter.java
+++ b/src/main/java/rushpin/drill/WireWriter.java
@@ -1,8 +1,8 @@
-package thistlefall.drill;
+package rushpin.drill;
 
 import java.io.IOException;
 import java.io.Writer;
-import thistlefall.Ports.Actions;
+import rushpin.gateway.Ports.Actions;
 
 /** Writes actions as lines of the wire. */
 final class WireWriter {
--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/rushpin/gateway/Gateway.java
@@ -1,9 +1,9 @@
-package thistlefall;
+package rushpin.gateway;
 
 import java.util.*;
 import java.util.stream.*;
 import org.ejml.simple.SimpleMatrix;
-import thistlefall.Ports.*;
+import rushpin.gateway.Ports.*;
 
 /**
  * All decisions of one gateway: quotas, fair queue, controllers, choice of server, attempts, final answers.
--- a/src/main/java/thistlefall/Ports.java
+++ b/src/main/java/rushpin/gateway/Ports.java
@@ -1,4 +1,4 @@
-package thistlefall;
+package rushpin.gateway;
 
 import java.util.List;
 
--- a/src/main/java/thistlefall/SettingsReader.java
+++ b/src/main/java/rushpin/gateway/SettingsReader.java
@@ -1,17 +1,17 @@
-package thistlefall;
+package rushpin.gateway;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import thistlefall.Ports.Counter;
-import thistlefall.Ports.Group;
-import thistlefall.Ports.Limits;
-import thistlefall.Ports.Plan;
-import thistlefall.Ports.Repeat;
-import thistlefall.Ports.RequestClass;
-import thistlefall.Ports.Rules;
-import thistlefall.Ports.Settings;
+import rushpin.gateway.Ports.Counter;
+import rushpin.gateway.Ports.Group;
+import rushpin.gateway.Ports.Limits;
+import rushpin.gateway.Ports.Plan;
+import rushpin.gateway.Ports.Repeat;
+import rushpin.gateway.Ports.RequestClass;
+import rushpin.gateway.Ports.Rules;
+import rushpin.gateway.Ports.Settings;
 
 /**
  * Turns path=value pairs into {@link Settings}; unknown paths are ignored. The simulator's wire and the real
--- a/src/main/java/thistlefall/node/AnswerHandler.java
+++ b/src/main/java/rushpin/node/AnswerHandler.java
@@ -1,4 +1,4 @@
-package thistlefall.node;
+package rushpin.node;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/thistlefall/node/ByteBudget.java
+++ b/src/main/java/rushpin/node/ByteBudget.java
@@ -1,4 +1,4 @@
-package thistlefall.node;
+package rushpin.node;
 
 /**
  * The bytes that clients' requests may hold over all connections together: each connection's own bound does not
--- a/src/main/java/thistlefall/node/ClientServer.java
+++ b/src/main/java/rushpin/node/ClientServer.java
@@ -1,4 +1,4 @@
-package thistlefall.node;
+package rushpin.node;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -38,9 +38,9 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import thistlefall.Ports.Repeat;
-import thistlefall.Ports.Request;
-import thistlefall.Ports.RequestClass;
+import rushpin.gateway.Ports.Repeat;
+import rushpin.gateway.Ports.Request;
+import rushpin.gateway.Ports.RequestClass;
 
 /** The listening side: reads clients' requests, turns away what is none, and writes the answers. */
 final class ClientServer {
--- a/src/main/java/thistlefall/node/Config.java
+++ b/src/main/java/rushpin/node/Config.java
@@ -1,4 +1,4 @@
-package thistlefall.node;
+package rushpin.node;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -12,10 +12,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import thistlefall.Ports.Readiness;
-import thistlefall.Ports.Server;
-import thistlefall.Ports.Settings;
-import thistlefall.SettingsReader;
+import rushpin.gateway.Ports.Readiness;
+import rushpin.gateway.Ports.Server;
+import rushpin.gateway.Ports.Settings;
+import rushpin.gateway.SettingsReader;
 
 /**
  * What an edge node is told at its start.
@@ -28,14 +28,14 @@
  * @param keepAlive span after which an app server closes an idle connection
  * @param names the names that stand for the settings' indices
  */
-record Config(SocketAddress listen, SocketAddress discovery, SocketAddress counter, long seed, int sockets,
+public record Config(SocketAddress listen, SocketAddress discovery, SocketAddress counter, long seed, int sockets,
               long memory, Roll known, long connectTimeout, long keepAlive, Names names,
               Settings settings) {
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /** A configuration that cannot be used; the message is one plain line that names the key. */
-    static final class Invalid extends Exception {
+    public static final class Invalid extends Exception {
         private static final long serialVersionUID = 1L;
 
         Invalid(String message) {
@@ -44,18 +44,18 @@
     }
 
     /** Names of classes, plans, zones and machine kinds, each at its index. */
-    record Names(List<String> classes, List<String> plans, List<String> zones, List<String> kinds) {
+    public record Names(List<String> classes, List<String> plans, List<String> zones, List<String> kinds) {
     }
 
     /** An app server and where this edge node reaches it. */
-    record Member(Server server, SocketAddress address) {
+    public record Member(Server server, SocketAddress address) {
     }
 
     /** A message of discovery: the whole list if {@code complete}, else changed entries. */
-    record Roll(long revision, boolean complete, List<Member> members) {
+    public record Roll(long revision, boolean complete, List<Member> members) {
     }
 
-    static Config read(Path file) throws Invalid {
+    public static Config read(Path file) throws Invalid {
         String text;
         try {
             text = Files.readString(file);
@@ -65,7 +65,7 @@
         return parse(text);
     }
 
-    static Config parse(String text) throws Invalid {
+    public static Config parse(String text) throws Invalid {
         JsonNode root;
         try {
             root = JSON.readTree(text);
@@ -117,7 +117,7 @@
     }
 
     /** Reads one message of discovery. */
-    static Roll roll(String line, Names names) throws Invalid {
+    public static Roll roll(String line, Names names) throws Invalid {
         try {
             return roll(JSON.readTree(line), names);
         } catch (JsonProcessingException e) {
--- a/src/main/java/thistlefall/node/CounterClient.java
+++ b/src/main/java/rushpin/node/CounterClient.java
@@ -1,4 +1,4 @@
-package thistlefall.node;
+package rushpin.node;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -19,7 +19,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
-import thistlefall.Ports.Outcome;
+import rushpin.gateway.Ports.Outcome;
 
 /**
  * Calls to the shared counter, written one behind another on a few connections. A name always has the same place
--- a/src/main/java/thistlefall/node/DiscoveryClient.java
+++ b/src/main/java/rushpin/node/DiscoveryClient.java
@@ -1,4 +1,4 @@
-package thistlefall.node;
+package rushpin.node;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -23,7 +23,7 @@
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
-import thistlefall.Ports.ListKind;
+import rushpin.gateway.Ports.ListKind;
 
 /** Watches the list of app servers, from the last revision heard on, and again whenever a watch ends. */
 final class DiscoveryClient {
--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/rushpin/node/EdgeNode.java
@@ -1,4 +1,4 @@
-package thistlefall.node;
+package rushpin.node;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
@@ -12,18 +12,18 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
-import thistlefall.Gateway;
-import thistlefall.Ports;
-import thistlefall.Ports.ListKind;
-import thistlefall.Ports.Outcome;
-import thistlefall.Ports.Result;
-import thistlefall.Ports.Server;
+import rushpin.gateway.Gateway;
+import rushpin.gateway.Ports;
+import rushpin.gateway.Ports.ListKind;
+import rushpin.gateway.Ports.Outcome;
+import rushpin.gateway.Ports.Result;
+import rushpin.gateway.Ports.Server;
 
 /**
  * A real edge node: carries what happens on the sockets to the decision module and its actions back. All of it
  * runs on one event loop thread, so nothing here is locked and the module's contract of one caller holds.
  */
-final class EdgeNode implements Ports.Actions, AutoCloseable {
+public final class EdgeNode implements Ports.Actions, AutoCloseable {
     private static final long MS = 1_000_000L;
     /** By so much the module sees each deadline early: its last answer is written before the client leaves. */
     private static final long ANSWER_MARGIN = 12 * MS;
@@ -46,7 +46,7 @@
     private Gateway gateway;
     private boolean inside;
 
-    EdgeNode(Config config) {
+    public EdgeNode(Config config) {
         this.config = config;
         budget = new ByteBudget(config.memory());
         pool = new ServerPool(this, loop, config);
@@ -56,7 +56,7 @@
     }
 
     /** Begins to serve; returns when the listening socket is bound. */
-    void start() throws Exception {
+    public void start() throws Exception {
         loop.submit(() -> {
             gateway = new Gateway(config.settings(), config.seed(), now(), this);
             list(config.known(), ListKind.CACHED);
@@ -66,7 +66,7 @@
     }
 
     /** Where clients connect. */
-    SocketAddress address() {
+    public SocketAddress address() {
         return clients.address();
     }
 
@@ -79,7 +79,7 @@
      * Goes over to the addresses of a new configuration. Clients, attempts, the module and its list stay as they
      * are, and all else in the file is for the next start.
      */
-    void reload(Config changed) {
+    public void reload(Config changed) {
         loop.execute(() -> {
             discovery.move(changed.discovery());
             if (changed.counter() != null) {
@@ -89,7 +89,7 @@
     }
 
     /** Answers all that was taken and completes when no client's connection is open any more. */
-    CompletableFuture<Void> drain() {
+    public CompletableFuture<Void> drain() {
         CompletableFuture<Void> done = new CompletableFuture<>();
         loop.execute(() -> {
             clients.closeAfterAnswers();
--- a/src/main/java/thistlefall/node/OpenRequest.java
+++ b/src/main/java/rushpin/node/OpenRequest.java
@@ -1,9 +1,9 @@
-package thistlefall.node;
+package rushpin.node;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.util.concurrent.Future;
-import thistlefall.Ports.Request;
+import rushpin.gateway.Ports.Request;
 
 /** A request that was taken: what goes on to app servers, and what is still owed to its client. */
 final class OpenRequest {
--- a/src/main/java/thistlefall/node/Rehearsal.java
+++ b/src/main/java/rushpin/node/Rehearsal.java
@@ -1,4 +1,4 @@
-package thistlefall.node;
+package rushpin.node;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -34,12 +34,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import thistlefall.Ports.Plan;
-import thistlefall.Ports.Readiness;
-import thistlefall.Ports.Repeat;
-import thistlefall.Ports.RequestClass;
-import thistlefall.Ports.Server;
-import thistlefall.Ports.Settings;
+import rushpin.gateway.Ports.Plan;
+import rushpin.gateway.Ports.Readiness;
+import rushpin.gateway.Ports.Repeat;
+import rushpin.gateway.Ports.RequestClass;
+import rushpin.gateway.Ports.Server;
+import rushpin.gateway.Ports.Settings;
 
 /**
  * What a node does before it serves: a second node of the same settings, with a module of its own, answers made-up
@@ -51,7 +51,7 @@
  * <p>It covers each start: the first one, a planned restart, one after a crash. It could hurt where the other nodes
  * can't bear the load for its span, so it is bounded in time, and where it can't be held the node serves without.
  */
-final class Rehearsal implements AutoCloseable {
+public final class Rehearsal implements AutoCloseable {
     private static final int SERVERS = 8, CLIENTS = 10, CUSTOMERS = 499;
     /** One answer in so many is a refusal unseen, or an error: further attempts are rehearsed too. */
     private static final int REFUSED = 17, FAILED = 41;
@@ -82,7 +82,7 @@
      * Holds one of so many requests, shorter if it takes longer than {@code span} milliseconds; returns how many
      * were served.
      */
-    static int hold(Config config, int requests, long span, Path parent) {
+    public static int hold(Config config, int requests, long span, Path parent) {
         try (Rehearsal rehearsal = new Rehearsal(config, requests, parent)) {
             return rehearsal.play(span);
         } catch (Exception e) {
--- a/src/main/java/thistlefall/node/ServerPool.java
+++ b/src/main/java/rushpin/node/ServerPool.java
@@ -1,4 +1,4 @@
-package thistlefall.node;
+package rushpin.node;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -25,9 +25,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import thistlefall.Ports.Outcome;
-import thistlefall.Ports.Readiness;
-import thistlefall.Ports.Server;
+import rushpin.gateway.Ports.Outcome;
+import rushpin.gateway.Ports.Readiness;
+import rushpin.gateway.Ports.Server;
 
 /** Connections to app servers, one request on each at a time, and the attempts on them with their outcomes. */
 final class ServerPool {
--- a/src/main/java/thistlefall/node/Transport.java
+++ b/src/main/java/rushpin/node/Transport.java
@@ -1,4 +1,4 @@
-package thistlefall.node;
+package rushpin.node;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
--- a/src/test/java/thistlefall/DrillTest.java
+++ b/src/test/java/rushpin/drill/DrillTest.java
@@ -1,4 +1,4 @@
-package thistlefall;
+package rushpin.drill;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -16,7 +16,7 @@
 
     private static Run play(String input) throws IOException, InterruptedException {
         Process process = new ProcessBuilder(System.getProperty("java.home") + File.separator + "bin"
-            + File.separator + "java", "-cp", System.getProperty("java.class.path"), "thistlefall.drill.Drill",
+            + File.separator + "java", "-cp", System.getProperty("java.class.path"), "rushpin.drill.Drill",
             "drill").start();
         try (var in = process.getOutputStream()) {
             in.write(input.getBytes(StandardCharsets.UTF_8));
--- a/src/test/java/thistlefall/Host.java
+++ b/src/test/java/rushpin/gateway/Host.java
@@ -1,24 +1,24 @@
-package thistlefall;
+package rushpin.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
-import thistlefall.Ports.Actions;
-import thistlefall.Ports.Counter;
-import thistlefall.Ports.Group;
-import thistlefall.Ports.Limits;
-import thistlefall.Ports.ListKind;
-import thistlefall.Ports.Outcome;
-import thistlefall.Ports.Plan;
-import thistlefall.Ports.Readiness;
-import thistlefall.Ports.Repeat;
-import thistlefall.Ports.Request;
-import thistlefall.Ports.RequestClass;
-import thistlefall.Ports.Result;
-import thistlefall.Ports.Rules;
-import thistlefall.Ports.Server;
-import thistlefall.Ports.Settings;
+import rushpin.gateway.Ports.Actions;
+import rushpin.gateway.Ports.Counter;
+import rushpin.gateway.Ports.Group;
+import rushpin.gateway.Ports.Limits;
+import rushpin.gateway.Ports.ListKind;
+import rushpin.gateway.Ports.Outcome;
+import rushpin.gateway.Ports.Plan;
+import rushpin.gateway.Ports.Readiness;
+import rushpin.gateway.Ports.Repeat;
+import rushpin.gateway.Ports.Request;
+import rushpin.gateway.Ports.RequestClass;
+import rushpin.gateway.Ports.Result;
+import rushpin.gateway.Ports.Rules;
+import rushpin.gateway.Ports.Server;
+import rushpin.gateway.Ports.Settings;
 
 /** A host under the test's control: writes down what one gateway asks for and calls its events. */
 final class Host implements Actions {
--- a/src/test/java/thistlefall/MechanismTest.java
+++ b/src/test/java/rushpin/gateway/MechanismTest.java
@@ -1,10 +1,10 @@
-package thistlefall;
+package rushpin.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static thistlefall.Host.MS;
-import static thistlefall.Host.SAFE;
-import static thistlefall.Host.UNSAFE;
+import static rushpin.gateway.Host.MS;
+import static rushpin.gateway.Host.SAFE;
+import static rushpin.gateway.Host.UNSAFE;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -16,9 +16,9 @@
 import java.util.SplittableRandom;
 import org.ejml.simple.SimpleMatrix;
 import org.junit.jupiter.api.Test;
-import thistlefall.Ports.Outcome;
-import thistlefall.Ports.Plan;
-import thistlefall.Ports.Readiness;
+import rushpin.gateway.Ports.Outcome;
+import rushpin.gateway.Ports.Plan;
+import rushpin.gateway.Ports.Readiness;
 
 /** The laws and the counter rule on their own terms. */
 class MechanismTest {
--- a/src/test/java/thistlefall/RulesTest.java
+++ b/src/test/java/rushpin/gateway/RulesTest.java
@@ -1,14 +1,14 @@
-package thistlefall;
+package rushpin.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static thistlefall.Host.KEYED_ALL;
-import static thistlefall.Host.KEYED_CELL;
-import static thistlefall.Host.MS;
-import static thistlefall.Host.SAFE;
-import static thistlefall.Host.UNSAFE;
+import static rushpin.gateway.Host.KEYED_ALL;
+import static rushpin.gateway.Host.KEYED_CELL;
+import static rushpin.gateway.Host.MS;
+import static rushpin.gateway.Host.SAFE;
+import static rushpin.gateway.Host.UNSAFE;
 
 import java.util.HashMap;
 import java.util.List;
@@ -16,10 +16,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import thistlefall.Ports.ListKind;
-import thistlefall.Ports.Outcome;
-import thistlefall.Ports.Plan;
-import thistlefall.Ports.Readiness;
+import rushpin.gateway.Ports.ListKind;
+import rushpin.gateway.Ports.Outcome;
+import rushpin.gateway.Ports.Plan;
+import rushpin.gateway.Ports.Readiness;
 
 /** The five rules at their edges. */
 class RulesTest {
--- a/src/test/java/thistlefall/SizeTest.java
+++ b/src/test/java/rushpin/gateway/SizeTest.java
@@ -1,4 +1,4 @@
-package thistlefall;
+package rushpin.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -12,7 +12,7 @@
 class SizeTest {
     @Test
     void moduleStaysWithin1000LinesOf110Columns() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/thistlefall/Gateway.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/rushpin/gateway/Gateway.java"));
         long filled = lines.stream().filter(line -> !line.isBlank()).count();
         assertTrue(filled > 0 && filled <= 1000, "lines that are not blank: " + filled);
         for (String line : lines) {
--- a/src/test/java/thistlefall/node/CounterClientTest.java
+++ b/src/test/java/rushpin/node/CounterClientTest.java
@@ -1,4 +1,4 @@
-package thistlefall.node;
+package rushpin.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
--- a/src/test/java/thistlefall/node/Peer.java
+++ b/src/test/java/rushpin/node/Peer.java
@@ -1,4 +1,4 @@
-package thistlefall.node;
+package rushpin.node;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
--- a/src/test/java/thistlefall/node/RehearsalTest.java
+++ b/src/test/java/rushpin/node/RehearsalTest.java
@@ -1,4 +1,4 @@
-package thistlefall.node;
+package rushpin.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -52,7 +52,7 @@
         Path file = folder.resolve("config.json");
         Files.writeString(file, config(member("s-0", server.address(), "Ready", 0)));
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-cp", System.getProperty("java.class.path"), "thistlefall.node.Main", "serve").redirectErrorStream(true);
+            "-cp", System.getProperty("java.class.path"), "rushpin.cli.Main", "serve").redirectErrorStream(true);
         builder.environment().put("GW_CONFIG", file.toString());
         builder.environment().put("TMPDIR", folder.toString());
         Process process = builder.start();
--- a/src/test/java/thistlefall/node/ReloadTest.java
+++ b/src/test/java/rushpin/node/ReloadTest.java
@@ -1,4 +1,4 @@
-package thistlefall.node;
+package rushpin.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -61,7 +61,7 @@
         String config = config();
         Files.writeString(file, config);
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-cp", System.getProperty("java.class.path"), "thistlefall.node.Main", "serve").redirectErrorStream(true);
+            "-cp", System.getProperty("java.class.path"), "rushpin.cli.Main", "serve").redirectErrorStream(true);
         builder.environment().put("GW_CONFIG", file.toString());
         Process process = builder.start();
         toClose.add(process::destroyForcibly);
