--- a/src/main/java/rushpin/cli/Main.java
+++ b/src/main/java/rushpin/cli/Main.java
@@ -5,8 +5,8 @@
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import rushpin.config.Config;
 import rushpin.drill.Drill;
-import rushpin.node.Config;
 import rushpin.node.EdgeNode;
 import rushpin.node.Rehearsal;
 
--- a/src/main/java/rushpin/node/Config.java
+++ b/src/main/java/rushpin/config/Config.java
@@ -1,10 +1,9 @@
-package rushpin.node;
+package rushpin.config;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -12,10 +11,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import rushpin.gateway.Ports.Readiness;
-import rushpin.gateway.Ports.Server;
 import rushpin.gateway.Ports.Settings;
 import rushpin.gateway.SettingsReader;
+import rushpin.membership.Names;
+import rushpin.membership.Roll;
+import rushpin.membership.discovery.RollReader;
+import rushpin.net.Upstream;
 
 /**
  * What an edge node is told at its start.
@@ -38,23 +39,12 @@
     public static final class Invalid extends Exception {
         private static final long serialVersionUID = 1L;
 
-        Invalid(String message) {
+        /** Says what is wrong. */
+        public Invalid(String message) {
             super(message);
         }
     }
 
-    /** Names of classes, plans, zones and machine kinds, each at its index. */
-    public record Names(List<String> classes, List<String> plans, List<String> zones, List<String> kinds) {
-    }
-
-    /** An app server and where this edge node reaches it. */
-    public record Member(Server server, SocketAddress address) {
-    }
-
-    /** A message of discovery: the whole list if {@code complete}, else changed entries. */
-    public record Roll(long revision, boolean complete, List<Member> members) {
-    }
-
     public static Config read(Path file) throws Invalid {
         String text;
         try {
@@ -65,15 +55,20 @@
         return parse(text);
     }
 
+    /** Reads a configuration's text. */
     public static Config parse(String text) throws Invalid {
-        JsonNode root;
         try {
-            root = JSON.readTree(text);
+            return parse(JSON.readTree(text));
         } catch (JsonProcessingException e) {
             throw new Invalid("the configuration is not JSON: " + e.getOriginalMessage().replace('\n', ' '));
+        } catch (RollReader.Malformed e) {
+            throw new Invalid(e.getMessage());
         }
+    }
+
+    private static Config parse(JsonNode root) throws Invalid, RollReader.Malformed {
         Map<String, String> pairs = new HashMap<>();
-        flatten("settings", present(root, "settings"), pairs);
+        flatten("settings", RollReader.present(root, "settings"), pairs);
         List<String> required = new ArrayList<>(List.of("my-number", "siblings", "my-zone", "tick-ns",
             "caps.max-attempts", "caps.max-open", "caps.connect-timeout-ns", "caps.keepalive-ns",
             "domain.count-wait-ns", "rules.answer-slack-ns", "rules.cold-from", "rules.ramp-time-ns",
@@ -81,7 +76,7 @@
         JsonNode settings = root.path("settings");
         Names names = new Names(namesOf(settings, "classes"), namesOf(settings, "tariffs"),
             textsOf(settings, "failure-domains"), textsOf(settings, "skus"));
-        for (int i = 0; i < names.classes.size(); i++) {
+        for (int i = 0; i < names.classes().size(); i++) {
             for (String key : List.of("aim-ns", "deadline-ns", "worth")) {
                 required.add("classes." + i + "." + key);
             }
@@ -90,7 +85,7 @@
                 throw new Invalid("settings." + idempotency + " is not retryable, dedup or fragile");
             }
         }
-        for (int i = 0; i < names.plans.size(); i++) {
+        for (int i = 0; i < names.plans().size(); i++) {
             for (String key : List.of("units-per-s", "peak-units", "price", "beyond-earns", "beyond-costs")) {
                 required.add("tariffs." + i + "." + key);
             }
@@ -108,44 +103,18 @@
             throw new Invalid("settings." + e.getMessage());
         }
         boolean counted = read.counter().present();
-        return new Config(address(root, "listen"), address(root, "discovery"),
-            counted ? address(root, "counter") : null, seed(present(root, "seed")),
+        return new Config(RollReader.address(root, "listen"), RollReader.address(root, "discovery"),
+            counted ? RollReader.address(root, "counter") : null, seed(RollReader.present(root, "seed")),
             root.path("limits").path("sockets").asInt(256), root.path("limits").path("memory_mb").asLong(64) << 20,
-            root.hasNonNull("known") ? roll(root.get("known"), names) : new Roll(0, true, List.of()),
+            root.hasNonNull("known") ? RollReader.read(root.get("known"), names) : new Roll(0, true, List.of()),
             (long) number(pairs, "caps.connect-timeout-ns"), (long) number(pairs, "caps.keepalive-ns"),
             names, read);
     }
 
-    /** Reads one message of discovery. */
-    public static Roll roll(String line, Names names) throws Invalid {
-        try {
-            return roll(JSON.readTree(line), names);
-        } catch (JsonProcessingException e) {
-            throw new Invalid("discovery's message is not JSON: " + e.getOriginalMessage().replace('\n', ' '));
-        }
-    }
-
-    private static Roll roll(JsonNode node, Names names) throws Invalid {
-        if (!present(node, "members").isArray() || !present(node, "revision").isIntegralNumber()) {
-            throw new Invalid("a list of app servers without revision or members");
-        }
-        List<Member> members = new ArrayList<>();
-        for (JsonNode entry : node.get("members")) {
-            String id = present(entry, "id").asText();
-            Readiness readiness = switch (present(entry, "phase").asText()) {
-                case "Ready" -> Readiness.READY;
-                case "Gone" -> Readiness.GONE;
-                default -> Readiness.DRAINING;
-            };
-            // The module's clock starts at the wall clock's time, so a start needs no more than a new unit;
-            // it compares starts to tell a restart, so the same start must give the same number every time.
-            long started = Math.max(0, entry.path("up_since_ms").asLong(0)) * 1_000_000L;
-            members.add(new Member(new Server(id, entry.path("size").asDouble(1),
-                names.zones.indexOf(entry.path("locality").asText()), entry.path("cell").asInt(0),
-                names.kinds.indexOf(entry.path("flavor").asText()), readiness, started),
-                address(entry, "host_port")));
-        }
-        return new Roll(node.get("revision").asLong(), node.path("complete").asBoolean(false), members);
+    /** What the sockets towards app servers, counter and discovery need of this. */
+    public Upstream upstream() {
+        return new Upstream(discovery, counter, settings.counter().timeout(), connectTimeout, keepAlive,
+            settings.counter().largest(), names, "", "app.svc");
     }
 
     private static void flatten(String path, JsonNode node, Map<String, String> into) {
@@ -182,10 +151,11 @@
         throw new Invalid("settings." + key + " is not a number from 0: " + pairs.get(key));
     }
 
-    private static List<String> namesOf(JsonNode settings, String list) throws Invalid {
+    private static List<String> namesOf(JsonNode settings, String list)
+        throws Invalid, RollReader.Malformed {
         List<String> names = new ArrayList<>();
-        for (JsonNode item : present(settings, list)) {
-            names.add(present(item, "name").asText());
+        for (JsonNode item : RollReader.present(settings, list)) {
+            names.add(RollReader.present(item, "name").asText());
         }
         if (names.isEmpty()) {
             throw new Invalid("settings." + list + " is empty");
@@ -199,13 +169,6 @@
         return List.copyOf(texts);
     }
 
-    private static JsonNode present(JsonNode node, String key) throws Invalid {
-        if (!node.hasNonNull(key)) {
-            throw new Invalid(key + " is missing");
-        }
-        return node.get(key);
-    }
-
     private static long seed(JsonNode seed) throws Invalid {
         try {
             return seed.isTextual() ? Long.parseUnsignedLong(seed.asText(), 16) : seed.asLong();
@@ -213,18 +176,4 @@
             throw new Invalid("seed is not a hexadecimal number of 64 bits");
         }
     }
-
-    private static InetSocketAddress address(JsonNode node, String key) throws Invalid {
-        String text = present(node, key).asText();
-        int colon = text.lastIndexOf(':');
-        try {
-            int port = Integer.parseInt(text.substring(colon + 1));
-            if (colon > 0) {
-                return new InetSocketAddress(text.substring(0, colon), port);
-            }
-        } catch (IllegalArgumentException e) {
-            // Said below.
-        }
-        throw new Invalid(key + " is not host:port: " + text);
-    }
 }
--- /dev/null
+++ b/src/main/java/rushpin/config/PoolPlan.java
@@ -0,0 +1,33 @@
+package rushpin.config;
+
+import java.util.Objects;
+import rushpin.gateway.Ports.Settings;
+import rushpin.membership.Roll;
+import rushpin.net.Upstream;
+
+/**
+ * All that a pool is made from.
+ *
+ * @param name as the operator calls it; empty for the platform's one pool
+ * @param ownLoop whether it has an event loop to itself
+ * @param guaranteed what it may use whatever the others do; null for the platform's one pool, which has all
+ */
+public record PoolPlan(String name, Upstream upstream, Settings settings, long seed, Roll known, boolean ownLoop,
+                       Grants guaranteed) {
+    /** The platform's one pool. */
+    public static PoolPlan platform(Config config) {
+        return new PoolPlan("", config.upstream(), config.settings(), config.seed(), config.known(), false, null);
+    }
+
+    /** Whether a running pool of this plan can go over to another by moving its addresses alone. */
+    public boolean differsOnlyInAddresses(PoolPlan other) {
+        return name.equals(other.name) && ownLoop == other.ownLoop && settings.equals(other.settings)
+            && (upstream.discovery() == null) == (other.upstream.discovery() == null)
+            && (upstream.discovery() != null || known.equals(other.known))
+            && upstream.names().equals(other.upstream.names())
+            && upstream.countPrefix().equals(other.upstream.countPrefix())
+            && upstream.connectTimeout() == other.upstream.connectTimeout()
+            && upstream.keepAlive() == other.upstream.keepAlive()
+            && Objects.equals(upstream.host(), other.upstream.host());
+    }
+}
--- /dev/null
+++ b/src/main/java/rushpin/membership/Member.java
@@ -0,0 +1,24 @@
+package rushpin.membership;
+
+import java.net.SocketAddress;
+import rushpin.gateway.Ports.Readiness;
+import rushpin.gateway.Ports.Server;
+
+/** An app server and where this edge node reaches it. */
+public record Member(Server server, SocketAddress address) {
+    /** Whether new work may go to it. */
+    public boolean isReady() {
+        return server.readiness() == Readiness.READY;
+    }
+
+    /** The same server, gone. */
+    public Member gone() {
+        return new Member(gone(server), address);
+    }
+
+    /** The same server, gone. */
+    public static Server gone(Server server) {
+        return new Server(server.id(), server.size(), server.zone(), server.cell(), server.kind(), Readiness.GONE,
+            server.startedAt());
+    }
+}
--- a/src/main/java/rushpin/node/AnswerDecoder.java
+++ b/src/main/java/rushpin/net/AnswerDecoder.java
@@ -1,4 +1,4 @@
-package rushpin.node;
+package rushpin.net;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -14,12 +14,12 @@
  * control characters ahead of an answer, waits for the end of a first line of noise, and hides what it holds of
  * a further answer: each of these would let bytes that belong to no request pass for the next one's answer.
  */
-final class AnswerDecoder extends HttpResponseDecoder {
+public final class AnswerDecoder extends HttpResponseDecoder {
     private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
     private boolean between = true;
 
     /** Whether all that came was whole answers. */
-    boolean isBetween() {
+    public boolean isBetween() {
         return between && actualReadableBytes() == 0;
     }
 
--- a/src/main/java/rushpin/node/AnswerHandler.java
+++ b/src/main/java/rushpin/net/AnswerHandler.java
@@ -1,4 +1,4 @@
-package rushpin.node;
+package rushpin.net;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -16,7 +16,7 @@
  * Puts a peer's answers together and tells a spoilt one as early as that can be: a length that is too large, two
  * of them, or none, is told by the head. After a spoilt answer nothing else that comes is looked at.
  */
-abstract class AnswerHandler extends SimpleChannelInboundHandler<HttpObject> {
+public abstract class AnswerHandler extends SimpleChannelInboundHandler<HttpObject> {
     /** So many 1xx answers ahead of one are nobody's courtesy any more. */
     private static final int MOST_INFORMATIONAL = 32;
 
@@ -26,19 +26,20 @@
     private int informational;
     private boolean spoilt;
 
-    AnswerHandler(int most) {
+    /** Takes answers of so many bytes at most. */
+    protected AnswerHandler(int most) {
         this.most = most;
         body = new Body(most);
     }
 
     /** A whole answer came; the body stays the caller's. */
-    abstract void answered(HttpResponse answer, ByteBuf body);
+    protected abstract void answered(HttpResponse answer, ByteBuf body);
 
     /** What came is no whole answer and never will be; the connection is of no further use. */
-    abstract void spoilt();
+    protected abstract void spoilt();
 
     /** Whether an answer may come now: one that nobody waits for belongs to nothing. */
-    abstract boolean expectsAnswer();
+    protected abstract boolean expectsAnswer();
 
     @Override
     protected final void channelRead0(ChannelHandlerContext context, HttpObject part) {
@@ -112,7 +113,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (!(cause instanceof IOException || cause instanceof DecoderException)) {
-            EdgeNode.trouble("an answer", cause);
+            Trouble.report("an answer", cause);
         }
         spoil();
     }
--- a/src/main/java/rushpin/node/ByteBudget.java
+++ b/src/main/java/rushpin/net/ByteBudget.java
@@ -1,10 +1,10 @@
-package rushpin.node;
+package rushpin.net;
 
 /**
  * The bytes that clients' requests may hold over all connections together: each connection's own bound does not
  * keep a thousand of them from outgrowing the memory.
  */
-final class ByteBudget {
+public final class ByteBudget {
     /** Usual requests are small. They have the last quarter to themselves. */
     private static final int SMALL = 4 * 1024;
     private static final long LEAST = 1L << 20, MOST = 8L << 20;
@@ -13,20 +13,21 @@
     private long used;
 
     /** A sixteenth of the memory, within bounds. */
-    ByteBudget(long memory) {
+    public ByteBudget(long memory) {
         most = Math.max(LEAST, Math.min(MOST, memory / 16));
     }
 
     /** Whether a request that holds, or will hold, so much may go on growing. */
-    boolean allows(long size) {
+    public boolean allows(long size) {
         return used < (size > SMALL ? most / 4 * 3 : most);
     }
 
-    void change(long by) {
+    /** Counts bytes taken, or given back if below 0. */
+    public void change(long by) {
         used += by;
     }
 
-    long used() {
+    public long used() {
         return used;
     }
 }
--- a/src/main/java/rushpin/node/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -1,4 +1,4 @@
-package rushpin.node;
+package rushpin.net;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -15,7 +15,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -24,29 +23,19 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.cookie.Cookie;
-import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
 import java.io.IOException;
 import java.math.BigDecimal;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import rushpin.gateway.Ports.Repeat;
-import rushpin.gateway.Ports.Request;
-import rushpin.gateway.Ports.RequestClass;
 
 /** The listening side: reads clients' requests, turns away what is none, and writes the answers. */
-final class ClientServer {
-    private static final long MAX_CUSTOMER = 1L << 33;
-    private static final int CUSTOMER_DIGITS = 16, MOST_DIGITS = 15;
-    private static final int BACKLOG = 512, MOST_NAME = 128;
+public final class ClientServer {
+    private static final int BACKLOG = 512;
     /** How much of one read, and how much that came ahead of its turn, a connection holds. */
     private static final int READ = 8 * 1024, MOST_AHEAD = ServerPool.MOST_BODY;
     /**
@@ -55,9 +44,9 @@
      */
     private static final long MS = 1_000_000L, WHOLE = 2_500 * MS, IDLE = 2_000 * MS, SWEEP = 250 * MS;
 
-    private final EdgeNode node;
+    private final Front node;
     private final EventLoop loop;
-    private final Config config;
+    private final SocketAddress listen;
     private final ByteBudget budget;
     private final Set<Session> sessions = new LinkedHashSet<>();
     private final int most, mostKept;
@@ -65,21 +54,23 @@
     private boolean draining;
     private CompletableFuture<Void> drained;
 
-    ClientServer(EdgeNode node, EventLoop loop, Config config, ByteBudget budget) {
+    /** Holds half of the descriptors at most; opens nothing yet. */
+    public ClientServer(Front node, EventLoop loop, SocketAddress listen, int sockets, ByteBudget budget) {
         this.node = node;
         this.budget = budget;
         this.loop = loop;
-        this.config = config;
+        this.listen = listen;
         // Half of the descriptors; app servers have three eighths, the rest is the process's own.
-        most = Math.max(8, config.sockets() / 2);
-        mostKept = Math.max(4, config.sockets() / 6);
+        most = Math.max(8, sockets / 2);
+        mostKept = Math.max(4, sockets / 6);
         loop.scheduleAtFixedRate(() -> List.copyOf(sessions).forEach(Session::limit), SWEEP, SWEEP,
             TimeUnit.NANOSECONDS);
     }
 
-    CompletableFuture<Void> bind() {
+    /** Begins to listen. */
+    public CompletableFuture<Void> bind() {
         CompletableFuture<Void> bound = new CompletableFuture<>();
-        Transport.listening(loop, config.listen()).option(ChannelOption.SO_BACKLOG, BACKLOG)
+        Transport.listening(loop, listen).option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 1024, READ))
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
@@ -88,7 +79,7 @@
                     channel.pipeline().addLast(session.decoder, new HttpResponseEncoder(), session);
                 }
             })
-            .bind(config.listen()).addListener((ChannelFutureListener) done -> {
+            .bind(listen).addListener((ChannelFutureListener) done -> {
                 listening = done.channel();
                 if (done.isSuccess()) {
                     bound.complete(null);
@@ -99,17 +90,18 @@
         return bound;
     }
 
-    SocketAddress address() {
+    /** Where it listens. */
+    public SocketAddress address() {
         return listening.localAddress();
     }
 
     /** From now on each connection ends with its next answer. */
-    void closeAfterAnswers() {
+    public void closeAfterAnswers() {
         draining = true;
     }
 
     /** Nobody comes any more: the listening socket and the connections between requests go. */
-    void stopAccepting(CompletableFuture<Void> done) {
+    public void stopAccepting(CompletableFuture<Void> done) {
         drained = done;
         listening.close();
         for (Session session : List.copyOf(sessions)) {
@@ -162,7 +154,7 @@
     }
 
     /** How many connections are open. */
-    int connections() throws Exception {
+    public int connections() throws Exception {
         return loop.submit(sessions::size).get();
     }
 
@@ -172,154 +164,13 @@
         }
     }
 
-    /** A request that is none: the status says why. */
-    private static final class Refusal extends Exception {
-        private static final long serialVersionUID = 1L;
-        private final HttpResponseStatus status;
-
-        Refusal(HttpResponseStatus status, String why) {
-            super(why, null, false, false);
-            this.status = status;
-        }
-    }
-
-    private static Refusal bad(String why) {
-        return new Refusal(HttpResponseStatus.BAD_REQUEST, why);
-    }
-
-    /** Reads a request; what it cannot read it names. Nothing is taken that means different things to readers. */
-    private OpenRequest read(HttpRequest head, ByteBuf body, OpenRequest.Answers answers) throws Refusal {
-        String uri = head.uri();
-        if (!uri.equals("/api") && !uri.startsWith("/api?")) {
-            throw new Refusal(HttpResponseStatus.NOT_FOUND, "no such path");
-        }
-        HttpHeaders headers = head.headers();
-        String id = name(need(headers, "X-Trace-Id"), "X-Trace-Id");
-        int requestClass = index(config.names().classes(), headers, "X-Qos");
-        int plan = index(config.names().plans(), headers, "X-Plan");
-        RequestClass spec = config.settings().classes().get(requestClass);
-        HttpMethod method = spec.repeat() == Repeat.SAFE ? HttpMethod.GET : HttpMethod.POST;
-        if (!head.method().equals(method)) {
-            throw new Refusal(HttpResponseStatus.METHOD_NOT_ALLOWED, "this class goes by " + method);
-        }
-        String key = only(headers, "Idempotency-Key");
-        if (key != null || spec.repeat() == Repeat.KEYED) {
-            name(need(headers, "Idempotency-Key"), "Idempotency-Key");
-        }
-        // No client waits longer than its class lets it, whatever it says: its request would only be held.
-        long span = whole(need(headers, "X-Expires-In-Ms"), "X-Expires-In-Ms", 1, 2 * spec.deadline() / MS);
-        Map<String, String> quota = quota(need(headers, "X-Quota"));
-        int siblings = config.settings().siblings();
-        Request request = new Request(id, requestClass, plan, customer(headers),
-            node.deadline(node.now(), span * MS), units(quota.get("units")),
-            (int) whole(quota.get("spread"), "X-Quota spread", 1, siblings),
-            (int) whole(quota.get("first"), "X-Quota first", 0, siblings - 1L),
-            "1".equals(headers.get("X-Second-Try")));
-        return new OpenRequest(request, method, uri, key, body, answers);
-    }
-
-    /** A header that stands once at most; null if it does not stand there. */
-    private static String only(HttpHeaders headers, String name) throws Refusal {
-        Iterator<String> values = headers.valueStringIterator(name);
-        String value = values.hasNext() ? values.next() : null;
-        if (values.hasNext()) {
-            throw bad(name + " stands there twice");
-        }
-        return value;
-    }
-
-    private static String need(HttpHeaders headers, String name) throws Refusal {
-        String value = only(headers, name);
-        if (value == null || value.isBlank()) {
-            throw bad(name + " is missing");
-        }
-        return value;
-    }
-
-    /** These go on to app servers and must arrive there as they came. */
-    private static String name(String value, String header) throws Refusal {
-        boolean good = value.length() <= MOST_NAME;
-        for (int i = 0; good && i < value.length(); i++) {
-            good = value.charAt(i) > ' ' && value.charAt(i) < 127;
-        }
-        if (!good) {
-            throw bad(header + " is no name");
-        }
-        return value;
-    }
-
-    private static int index(List<String> names, HttpHeaders headers, String name) throws Refusal {
-        int index = names.indexOf(need(headers, name));
-        if (index < 0) {
-            throw bad(name + " is unknown");
-        }
-        return index;
-    }
-
-    private static long customer(HttpHeaders headers) throws Refusal {
-        String found = null;
-        for (Cookie cookie : ServerCookieDecoder.LAX.decodeAll(need(headers, "Cookie"))) {
-            if (cookie.name().equals("customer")) {
-                if (found != null) {
-                    throw bad("the cookie names two customers");
-                }
-                found = cookie.value();
-            }
-        }
-        if (found != null && found.length() == CUSTOMER_DIGITS && isOf(found, 16)) {
-            long customer = Long.parseUnsignedLong(found, 16);
-            if (customer >= 0 && customer < MAX_CUSTOMER) {
-                return customer;
-            }
-        }
-        throw bad("the cookie names no customer");
-    }
-
-    private static Map<String, String> quota(String text) throws Refusal {
-        Map<String, String> parts = new HashMap<>();
-        for (String part : text.split(",")) {
-            String[] pair = part.trim().split("=", 2);
-            if (parts.put(pair[0], pair.length > 1 ? pair[1] : "") != null) {
-                throw bad("X-Quota says " + pair[0] + " twice");
-            }
-        }
-        return parts;
-    }
-
-    private double units(String text) throws Refusal {
-        double units = Figures.amount(text, config.settings().counter().largest());
-        if (Double.isNaN(units)) {
-            throw bad("X-Quota units is not a number above 0 that one request may count");
-        }
-        return units;
-    }
-
-    private static boolean isOf(String text, int radix) {
-        for (int i = 0; i < text.length(); i++) {
-            if (text.charAt(i) > 127 || Character.digit(text.charAt(i), radix) < 0) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    private static long whole(String text, String name, long least, long most) throws Refusal {
-        if (text != null && !text.isEmpty() && text.length() <= MOST_DIGITS && isOf(text, 10)) {
-            long value = Long.parseLong(text);
-            if (value >= least && value <= most) {
-                return value;
-            }
-        }
-        throw bad(name + " is not a whole number from " + least + " to " + most);
-    }
-
     /** A client's connection: one request at a time; what comes behind it waits undecoded. */
     private final class Session extends SimpleChannelInboundHandler<HttpObject> {
         private final RequestDecoder decoder = new RequestDecoder(this::arrived);
         private final Body body = new Body(ServerPool.MOST_BODY);
         private final Channel channel;
         private HttpRequest head;
-        private OpenRequest current;
+        private Reply current;
         /** {@code begun}: a part of a request has come; {@code asked}: a whole one has, ever. */
         private boolean begun, asked, keepAlive, closing;
         /** When the request that is coming, or else the silence, began. */
@@ -433,15 +284,15 @@
                 return;
             }
             try {
-                OpenRequest taken = read(whole, content, new Reply());
-                current = taken;
-                if (!node.take(taken)) {
-                    current = null;
-                    throw new Refusal(HttpResponseStatus.CONFLICT, "a request of this id is open");
-                }
+                Front.Way way = node.route(whole);
+                Reply reply = new Reply(way.service());
+                OpenRequest taken = RequestReader.read(whole, content, way, node.now(), reply);
+                reply.of = taken;
+                current = reply;
+                reply.take();
             } catch (Refusal e) {
                 content.release();
-                refuse(e.status, e.getMessage());
+                refuse(e.status(), e.getMessage());
             }
         }
 
@@ -511,11 +362,11 @@
             if (drained == null) {
                 channel.parent().config().setAutoRead(true);
             }
-            OpenRequest left = current;
+            Reply left = current;
             current = null;
             closing = true;
             if (left != null) {
-                node.clientGone(left);
+                left.gone();
             }
             finishDrain();
         }
@@ -523,27 +374,88 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             if (!(cause instanceof IOException || cause instanceof DecoderException)) {
-                EdgeNode.trouble("a client's connection", cause);
+                Trouble.report("a client's connection", cause);
             }
             channel.close();
         }
 
-        /** Writes the one answer of the request in hand. */
+        /** Writes the one answer of the request in hand, from whichever loop its pool lives on. */
         private final class Reply implements OpenRequest.Answers {
+            private final Service service;
+            private OpenRequest of;
+
+            Reply(Service service) {
+                this.service = service;
+            }
+
+            void take() {
+                if (service.loop() == loop) {
+                    service.take(of);
+                } else {
+                    service.loop().execute(() -> service.take(of));
+                }
+            }
+
+            void gone() {
+                if (service.loop() == loop) {
+                    service.clientGone(of);
+                } else {
+                    service.loop().execute(() -> service.clientGone(of));
+                }
+            }
+
+            /** An answer that crosses its client's leaving finds nobody. */
+            private void on(Runnable answer) {
+                if (service.loop() == loop) {
+                    answer.run();
+                } else {
+                    loop.execute(answer);
+                }
+            }
+
+            private boolean isOpen() {
+                return current == this;
+            }
+
             @Override
             public void served(ByteBuf content) {
-                write(HttpResponseStatus.OK, content.retain(), 0);
+                ByteBuf kept = content.retain();
+                on(() -> {
+                    if (isOpen()) {
+                        write(HttpResponseStatus.OK, kept, 0);
+                    } else {
+                        kept.release();
+                    }
+                });
             }
 
             @Override
             public void refused(long retryAfter) {
-                write(retryAfter > 0 ? HttpResponseStatus.TOO_MANY_REQUESTS
-                    : HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER, retryAfter);
+                on(() -> {
+                    if (isOpen()) {
+                        write(retryAfter > 0 ? HttpResponseStatus.TOO_MANY_REQUESTS
+                            : HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER, retryAfter);
+                    }
+                });
             }
 
             @Override
             public void failed() {
-                write(HttpResponseStatus.BAD_GATEWAY, Unpooled.EMPTY_BUFFER, 0);
+                on(() -> {
+                    if (isOpen()) {
+                        write(HttpResponseStatus.BAD_GATEWAY, Unpooled.EMPTY_BUFFER, 0);
+                    }
+                });
+            }
+
+            @Override
+            public void duplicate() {
+                on(() -> {
+                    if (isOpen()) {
+                        current = null;
+                        refuse(HttpResponseStatus.CONFLICT, "a request of this id is open");
+                    }
+                });
             }
         }
     }
--- a/src/main/java/rushpin/node/CounterClient.java
+++ b/src/main/java/rushpin/net/CounterClient.java
@@ -1,4 +1,4 @@
-package rushpin.node;
+package rushpin.net;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -25,30 +25,35 @@
  * Calls to the shared counter, written one behind another on a few connections. A name always has the same place
  * among these, so that the calls of a name are counted, and told to the module, in their order.
  */
-final class CounterClient {
+public final class CounterClient {
     private static final int PLACES = 4, MOST_PENDING = 256, MOST_ANSWER = 1024;
     private static final long MS = 1_000_000L;
     /** A line with a call unanswered for so many time-outs is taken to lead nowhere and is replaced. */
     private static final int SILENT_TIMEOUTS = 10;
 
     /** Hears how calls end. */
-    interface Listener {
+    public interface Listener {
+        /** A call ended; calls of one name end in their order. */
         void counted(long name, Outcome outcome, double total);
     }
 
     private final Listener listener;
     private final EventLoop loop;
     private final long timeout;
+    private final String prefix;
     private final Bootstrap bootstrap;
     private final Place[] places = new Place[PLACES];
     private SocketAddress address;
+    private boolean closed;
 
-    CounterClient(Listener listener, EventLoop loop, Config config) {
+    /** Opens nothing yet: the first call does. */
+    public CounterClient(Listener listener, EventLoop loop, Upstream config) {
         this.listener = listener;
         this.loop = loop;
         address = config.counter();
-        timeout = Math.max(MS, config.settings().counter().timeout());
-        bootstrap = Transport.connecting(loop, config.discovery())
+        prefix = config.countPrefix();
+        timeout = Math.max(MS, config.counterTimeout());
+        bootstrap = Transport.connecting(loop, config.counter())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, config.connectTimeout() / MS));
         for (int i = 0; i < PLACES; i++) {
             places[i] = new Place();
@@ -56,12 +61,12 @@
     }
 
     /** Adds to a named number; the outcome is told later, never from within this call. */
-    void count(long name, double amount, long lifetime) {
+    public void count(long name, double amount, long lifetime) {
         places[(int) Long.remainderUnsigned(name, PLACES)].add(name, amount, lifetime);
     }
 
     /** From now on calls go elsewhere; what was written to the old address may still be answered there. */
-    void move(SocketAddress to) {
+    public void move(SocketAddress to) {
         if (!to.equals(address)) {
             address = to;
             for (Place place : places) {
@@ -70,6 +75,16 @@
         }
     }
 
+    /** Lets go of all lines; no call ends any more. */
+    public void close() {
+        closed = true;
+        for (Place place : places) {
+            if (place.line != null) {
+                place.line.die();
+            }
+        }
+    }
+
     /** One call; it ends exactly once, though its answer may still be on its way and has its place in line. */
     private final class Call {
         private final Place place;
@@ -81,13 +96,16 @@
         Call(Place place, long name, double amount, long lifetime) {
             this.place = place;
             this.name = name;
-            uri = "/tally/" + Long.toUnsignedString(name) + "?n=" + BigDecimal.valueOf(amount).toPlainString()
+            uri = "/tally/" + prefix + Long.toUnsignedString(name) + "?n=" + BigDecimal.valueOf(amount).toPlainString()
                 + "&keep_ms=" + Math.max(1, (lifetime + MS - 1) / MS);
         }
 
         void end(Outcome outcome, double total) {
             if (!over) {
                 over = true;
+                if (closed) {
+                    return;
+                }
                 listener.counted(name, outcome, total);
             }
         }
@@ -231,7 +249,7 @@
             if (place.line != null || place.waiting.isEmpty()) {
                 return;
             }
-            if (connected) {
+            if (connected && !closed) {
                 place.line = new Line(place);
             } else {
                 // Nobody listens there: to try again at once would only go round and round.
@@ -242,12 +260,12 @@
         }
 
         @Override
-        boolean expectsAnswer() {
+        protected boolean expectsAnswer() {
             return !pending.isEmpty() && pending.peek().written;
         }
 
         @Override
-        void answered(HttpResponse answer, ByteBuf body) {
+        protected void answered(HttpResponse answer, ByteBuf body) {
             Call call = pending.poll();
             boolean good = HttpUtil.isKeepAlive(answer);
             switch (answer.status().code()) {
@@ -272,7 +290,7 @@
         }
 
         @Override
-        void spoilt() {
+        protected void spoilt() {
             die();
         }
     }
--- a/src/main/java/rushpin/node/DiscoveryClient.java
+++ b/src/main/java/rushpin/net/DiscoveryClient.java
@@ -1,4 +1,4 @@
-package rushpin.node;
+package rushpin.net;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -24,24 +24,34 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import rushpin.gateway.Ports.ListKind;
+import rushpin.membership.Names;
+import rushpin.membership.Roll;
+import rushpin.membership.discovery.RollReader;
 
 /** Watches the list of app servers, from the last revision heard on, and again whenever a watch ends. */
-final class DiscoveryClient {
+public final class DiscoveryClient {
     /** A line comes every 2 s at least: silence beyond a few of them is a dead connection. */
     private static final int SILENCE_S = 7;
     private static final int CONNECT_MS = 1_000, MOST_LINE = 1 << 20;
     private static final long FIRST_BACKOFF_MS = 100, MOST_BACKOFF_MS = 2_000, PATIENCE_MS = 1_000;
 
-    private final EdgeNode node;
+    /** Hears the list. */
+    public interface Listener {
+        /** The whole list, or changes to it. */
+        void list(Roll roll, ListKind kind);
+    }
+
+    private final Listener node;
     private final EventLoop loop;
-    private final Config.Names names;
+    private final Names names;
     private final Bootstrap bootstrap;
     private SocketAddress address;
     private Channel watching;
     private long revision, backoff = FIRST_BACKOFF_MS;
     private boolean heard;
 
-    DiscoveryClient(EdgeNode node, EventLoop loop, Config config) {
+    /** Connects nowhere yet. */
+    public DiscoveryClient(Listener node, EventLoop loop, Upstream config) {
         this.node = node;
         this.loop = loop;
         names = config.names();
@@ -57,7 +67,8 @@
             });
     }
 
-    void start(long known) {
+    /** Begins to watch from a revision on. */
+    public void start(long known) {
         revision = known;
         // A discovery that is down must not keep the edge node from serving by the list it has.
         loop.schedule(() -> heard = true, PATIENCE_MS, TimeUnit.MILLISECONDS);
@@ -65,13 +76,13 @@
     }
 
     /** Whether a first message has come, or has been waited for long enough. */
-    boolean heard() {
+    public boolean heard() {
         return heard;
     }
 
     /** From now on watches elsewhere. The list is kept: what changed since then is the new watch's to tell. */
-    void move(SocketAddress to) {
-        if (to.equals(address)) {
+    public void move(SocketAddress to) {
+        if (to == null || to.equals(address)) {
             return;
         }
         address = to;
@@ -81,6 +92,15 @@
         old.close();
     }
 
+    /** Watches no more. */
+    public void close() {
+        Channel old = watching;
+        watching = null;
+        if (old != null) {
+            old.close();
+        }
+    }
+
     private void watch() {
         ChannelFuture connecting = bootstrap.connect(address);
         Channel channel = connecting.channel();
@@ -128,7 +148,7 @@
                     int length = bytes.bytesBefore((byte) '\n');
                     bytes.readBytes(line, length < 0 ? bytes.readableBytes() : length);
                     if (line.size() > MOST_LINE) {
-                        throw new Config.Invalid("discovery's line is too long");
+                        throw new RollReader.Malformed("discovery's line is too long");
                     }
                     if (length >= 0) {
                         bytes.skipBytes(1);
@@ -143,11 +163,11 @@
             }
         }
 
-        private void read(String text) throws Config.Invalid {
+        private void read(String text) throws RollReader.Malformed {
             if (text.isBlank()) {
                 return;
             }
-            Config.Roll roll = Config.roll(text, names);
+            Roll roll = RollReader.read(text, names);
             node.list(roll, roll.complete() ? ListKind.FULL : ListKind.DELTA);
             revision = roll.revision();
             heard = true;
@@ -157,7 +177,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             if (!ended) {
-                EdgeNode.trouble("discovery", cause);
+                Trouble.report("discovery", cause);
             }
             ended = true;
             context.close();
--- a/src/main/java/rushpin/node/Figures.java
+++ b/src/main/java/rushpin/net/Figures.java
@@ -1,4 +1,4 @@
-package rushpin.node;
+package rushpin.net;
 
 /**
  * Reads figures that a peer wrote. Java's own parser takes more than a peer may mean ({@code 1d}, {@code 0x1p3},
--- /dev/null
+++ b/src/main/java/rushpin/net/OpenRequest.java
@@ -0,0 +1,106 @@
+package rushpin.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.concurrent.Future;
+import rushpin.gateway.Ports.Request;
+
+/** A request that was taken: what goes on to app servers, and what is still owed to its client. */
+public final class OpenRequest {
+    /** Where the one final answer goes; told on the pool's loop only. */
+    public interface Answers {
+        /** Passes on an app server's answer; the buffer stays the caller's. */
+        void served(ByteBuf body);
+
+        /** Says that trying again is harmless; {@code retryAfter} nanoseconds from now, 0 for no advice. */
+        void refused(long retryAfter);
+
+        /** Says that it failed, with no promise about the effect. */
+        void failed();
+
+        /** Says that a request of this id is open; nothing is done for this one. */
+        void duplicate();
+    }
+
+    final HttpMethod method;
+    final String uri;
+    final String key;
+    final String host;
+    private final Request request;
+    private final ByteBuf body;
+    private final Answers answers;
+    private int attempts;
+    private boolean attemptOut;
+    private boolean answered;
+    private Future<?> overdue;
+
+    /** Takes over the body; {@code host} as the client named it. */
+    OpenRequest(Request request, HttpMethod method, String uri, String key, String host, ByteBuf body,
+                Answers answers) {
+        this.request = request;
+        this.method = method;
+        this.uri = uri;
+        this.key = key;
+        this.host = host;
+        this.body = body;
+        this.answers = answers;
+    }
+
+    /** What the module is told of it. */
+    public Request request() {
+        return request;
+    }
+
+    /** The request's body; the request owns it until it is settled. */
+    public ByteBuf body() {
+        return body;
+    }
+
+    /** How many attempts were begun. */
+    public int attempts() {
+        return attempts;
+    }
+
+    /** Whether an attempt is out. */
+    public boolean isAttemptOut() {
+        return attemptOut;
+    }
+
+    /** An attempt begins; the one before has ended. */
+    public void attemptBegins() {
+        attempts++;
+        attemptOut = true;
+    }
+
+    /** The attempt that was out has ended. */
+    public void attemptEnds() {
+        attemptOut = false;
+    }
+
+    /** Whether its client was answered, or has left. */
+    public boolean isAnswered() {
+        return answered;
+    }
+
+    /** The answers' side if nothing was answered yet, else null: a request has one final answer. */
+    public Answers answerOnce() {
+        if (answered) {
+            return null;
+        }
+        answered = true;
+        return answers;
+    }
+
+    /** Sets the backstop that ends it shortly before its client's time is up. */
+    public void backstop(Future<?> then) {
+        overdue = then;
+    }
+
+    /** The end: the backstop is no longer needed and the body goes. */
+    public void settle() {
+        if (overdue != null) {
+            overdue.cancel(false);
+        }
+        body.release();
+    }
+}
--- a/src/main/java/rushpin/node/RequestDecoder.java
+++ b/src/main/java/rushpin/net/RequestDecoder.java
@@ -1,4 +1,4 @@
-package rushpin.node;
+package rushpin.net;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- /dev/null
+++ b/src/main/java/rushpin/net/RequestReader.java
@@ -0,0 +1,156 @@
+package rushpin.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.cookie.Cookie;
+import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import rushpin.gateway.Ports.Repeat;
+import rushpin.gateway.Ports.Request;
+import rushpin.gateway.Ports.RequestClass;
+import rushpin.gateway.Ports.Settings;
+import rushpin.membership.Names;
+
+/** Reads what a request's head says to its pool; what cannot be read it names. */
+public final class RequestReader {
+    /** By so much the module sees each deadline early: its last answer is written before the client leaves. */
+    public static final long ANSWER_MARGIN = 12_000_000L;
+    private static final long MS = 1_000_000L, MAX_CUSTOMER = 1L << 33;
+    private static final int CUSTOMER_DIGITS = 16, MOST_DIGITS = 15, MOST_NAME = 128;
+
+    private RequestReader() {
+    }
+
+    /**
+     * Reads a request; what it cannot read it names. Nothing is taken that means different things to readers.
+     */
+    static OpenRequest read(HttpRequest head, ByteBuf body, Front.Way way, long now, OpenRequest.Answers answers)
+        throws Refusal {
+        Names names = way.service().names();
+        Settings settings = way.service().settings();
+        HttpHeaders headers = head.headers();
+        String id = name(need(headers, "X-Trace-Id"), "X-Trace-Id");
+        int requestClass = index(names.classes(), headers, "X-Qos");
+        int plan = index(names.plans(), headers, "X-Plan");
+        RequestClass spec = settings.classes().get(requestClass);
+        HttpMethod method = spec.repeat() == Repeat.SAFE ? HttpMethod.GET : HttpMethod.POST;
+        if (!head.method().equals(method)) {
+            throw new Refusal(HttpResponseStatus.METHOD_NOT_ALLOWED, "this class goes by " + method);
+        }
+        String key = only(headers, "Idempotency-Key");
+        if (key != null || spec.repeat() == Repeat.KEYED) {
+            name(need(headers, "Idempotency-Key"), "Idempotency-Key");
+        }
+        // No client waits longer than its class lets it, whatever it says: its request would only be held.
+        long span = whole(need(headers, "X-Expires-In-Ms"), "X-Expires-In-Ms", 1, 2 * spec.deadline() / MS);
+        Map<String, String> quota = quota(need(headers, "X-Quota"));
+        int siblings = settings.siblings();
+        Request request = new Request(id, requestClass, plan, customer(headers),
+            now + Math.max(MS, span * MS - ANSWER_MARGIN), units(quota.get("units"), settings.counter().largest()),
+            (int) whole(quota.get("spread"), "X-Quota spread", 1, siblings),
+            (int) whole(quota.get("first"), "X-Quota first", 0, siblings - 1L),
+            "1".equals(headers.get("X-Second-Try")));
+        return new OpenRequest(request, method, head.uri(), key, way.host(), body, answers);
+    }
+
+    /** A header that stands once at most; null if it does not stand there. */
+    private static String only(HttpHeaders headers, String name) throws Refusal {
+        Iterator<String> values = headers.valueStringIterator(name);
+        String value = values.hasNext() ? values.next() : null;
+        if (values.hasNext()) {
+            throw Refusal.bad(name + " stands there twice");
+        }
+        return value;
+    }
+
+    private static String need(HttpHeaders headers, String name) throws Refusal {
+        String value = only(headers, name);
+        if (value == null || value.isBlank()) {
+            throw Refusal.bad(name + " is missing");
+        }
+        return value;
+    }
+
+    /** These go on to app servers and must arrive there as they came. */
+    private static String name(String value, String header) throws Refusal {
+        boolean good = value.length() <= MOST_NAME;
+        for (int i = 0; good && i < value.length(); i++) {
+            good = value.charAt(i) > ' ' && value.charAt(i) < 127;
+        }
+        if (!good) {
+            throw Refusal.bad(header + " is no name");
+        }
+        return value;
+    }
+
+    private static int index(List<String> names, HttpHeaders headers, String name) throws Refusal {
+        int index = names.indexOf(need(headers, name));
+        if (index < 0) {
+            throw Refusal.bad(name + " is unknown");
+        }
+        return index;
+    }
+
+    private static long customer(HttpHeaders headers) throws Refusal {
+        String found = null;
+        for (Cookie cookie : ServerCookieDecoder.LAX.decodeAll(need(headers, "Cookie"))) {
+            if (cookie.name().equals("customer")) {
+                if (found != null) {
+                    throw Refusal.bad("the cookie names two customers");
+                }
+                found = cookie.value();
+            }
+        }
+        if (found != null && found.length() == CUSTOMER_DIGITS && isOf(found, 16)) {
+            long customer = Long.parseUnsignedLong(found, 16);
+            if (customer >= 0 && customer < MAX_CUSTOMER) {
+                return customer;
+            }
+        }
+        throw Refusal.bad("the cookie names no customer");
+    }
+
+    private static Map<String, String> quota(String text) throws Refusal {
+        Map<String, String> parts = new HashMap<>();
+        for (String part : text.split(",")) {
+            String[] pair = part.trim().split("=", 2);
+            if (parts.put(pair[0], pair.length > 1 ? pair[1] : "") != null) {
+                throw Refusal.bad("X-Quota says " + pair[0] + " twice");
+            }
+        }
+        return parts;
+    }
+
+    private static double units(String text, double most) throws Refusal {
+        double units = Figures.amount(text, most);
+        if (Double.isNaN(units)) {
+            throw Refusal.bad("X-Quota units is not a number above 0 that one request may count");
+        }
+        return units;
+    }
+
+    private static boolean isOf(String text, int radix) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) > 127 || Character.digit(text.charAt(i), radix) < 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static long whole(String text, String name, long least, long most) throws Refusal {
+        if (text != null && !text.isEmpty() && text.length() <= MOST_DIGITS && isOf(text, 10)) {
+            long value = Long.parseLong(text);
+            if (value >= least && value <= most) {
+                return value;
+            }
+        }
+        throw Refusal.bad(name + " is not a whole number from " + least + " to " + most);
+    }
+}
--- a/src/main/java/rushpin/node/ServerPool.java
+++ b/src/main/java/rushpin/net/ServerPool.java
@@ -1,4 +1,4 @@
-package rushpin.node;
+package rushpin.net;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -26,34 +26,63 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import rushpin.gateway.Ports.Outcome;
-import rushpin.gateway.Ports.Readiness;
 import rushpin.gateway.Ports.Server;
+import rushpin.membership.Member;
+import rushpin.membership.Roll;
 
 /** Connections to app servers, one request on each at a time, and the attempts on them with their outcomes. */
-final class ServerPool {
-    static final int MOST_BODY = 64 * 1024;
+public final class ServerPool {
+    /** The largest body, in bytes. */
+    public static final int MOST_BODY = 64 * 1024;
     private static final long MS = 1_000_000L, SWEEP = 1_000 * MS;
     /** A second copy or noise may come right behind an answer: for so long nothing new is written there. */
     private static final long REST = 10 * MS;
     /** An answer holds 64 KiB at most: one begun and not whole after so long is spoilt and will not get better. */
     private static final long ANSWER_SPAN = 250 * MS;
 
-    private final EdgeNode node;
+    /** Hears how attempts end. */
+    public interface Listener {
+        /** An attempt ended; {@code body} is an app server's whole 200 answer, and stays the caller's. */
+        void attemptEnded(OpenRequest of, Outcome outcome, long took, String server, double units, ByteBuf body);
+    }
+
+    /** How many connections the pool may hold and make at a time; called on its loop. */
+    public interface Slots {
+        /** One connection more; false if there is no room. */
+        boolean takeConnection();
+
+        /** A connection has ended. */
+        void giveConnection();
+
+        /** One more connection begins to be made; false if too many are. */
+        boolean takeConnect();
+
+        /** A connection is made, or could not be. */
+        void giveConnect();
+
+        /** Whether connections are wanted back: none that gets free is kept. */
+        boolean mustShrink();
+    }
+
+    private final Listener node;
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final Map<String, Endpoint> endpoints = new HashMap<>();
     private final long idleLimit;
-    private final int most;
+    private final Slots slots;
     private final double mostUnits;
-    private int connections;
+    private final String host;
+    private final Future<?> sweep;
 
-    ServerPool(EdgeNode node, EventLoop loop, Config config) {
+    /** Holds as many connections as there are slots. */
+    public ServerPool(Listener node, EventLoop loop, Upstream config, Slots slots) {
         this.node = node;
         this.loop = loop;
         // Well before the app server does: a request written to a connection that it closes ends as a reset.
         idleLimit = config.keepAlive() / 2;
-        mostUnits = config.settings().counter().largest();
-        most = Math.max(16, config.sockets() * 3 / 8);
+        mostUnits = config.mostUnits();
+        this.slots = slots;
+        host = config.host();
         bootstrap = Transport.connecting(loop, config.discovery())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, config.connectTimeout() / MS))
             .handler(new ChannelInitializer<Channel>() {
@@ -63,7 +92,7 @@
                     channel.pipeline().addLast(decoder, new HttpRequestEncoder(), new Connection(decoder));
                 }
             });
-        loop.scheduleAtFixedRate(this::closeIdle, SWEEP, SWEEP, TimeUnit.NANOSECONDS);
+        sweep = loop.scheduleAtFixedRate(this::closeIdle, SWEEP, SWEEP, TimeUnit.NANOSECONDS);
     }
 
     /** One run of an app server at one address; a restart or a move makes a new one. */
@@ -74,7 +103,7 @@
         private final ArrayDeque<Connection> idle = new ArrayDeque<>();
         private boolean retired;
 
-        Endpoint(Config.Member member) {
+        Endpoint(Member member) {
             server = member.server();
             address = member.address();
             startedAt = server.startedAt();
@@ -105,19 +134,19 @@
      * last has it, and the one before is gone, whether or not discovery has told so yet. Under the old id the
      * new one would be reached unknown, with neither its cold start nor its drain.
      */
-    List<Server> update(Config.Roll roll, boolean whole) {
+    public List<Server> update(Roll roll, boolean whole) {
         List<Server> told = new ArrayList<>();
         Set<String> named = new HashSet<>();
-        for (Config.Member member : roll.members()) {
+        for (Member member : roll.members()) {
             Server server = member.server();
             named.add(server.id());
-            boolean ready = server.readiness() == Readiness.READY;
+            boolean ready = member.isReady();
             Endpoint holder = ready ? holder(member) : null;
             if (holder != null && holder.startedAt > server.startedAt()) {
                 ready = false;
-                server = gone(server);
+                server = Member.gone(server);
             } else if (holder != null) {
-                told.add(gone(holder.server));
+                told.add(Member.gone(holder.server));
                 drop(holder);
             }
             told.add(server);
@@ -137,7 +166,13 @@
         return told;
     }
 
-    private Endpoint holder(Config.Member of) {
+    /** The end of the pool: no attempt is out any more. */
+    public void close() {
+        sweep.cancel(false);
+        List.copyOf(endpoints.values()).forEach(this::drop);
+    }
+
+    private Endpoint holder(Member of) {
         for (Endpoint endpoint : endpoints.values()) {
             if (endpoint.address.equals(of.address()) && !endpoint.server.id().equals(of.server().id())) {
                 return endpoint;
@@ -146,26 +181,22 @@
         return null;
     }
 
-    private static Server gone(Server server) {
-        return new Server(server.id(), server.size(), server.zone(), server.cell(), server.kind(), Readiness.GONE,
-            server.startedAt());
-    }
-
     private void drop(Endpoint endpoint) {
         endpoint.retire();
         endpoints.remove(endpoint.server.id());
     }
 
     /** Begins an attempt; its outcome is told later, never from within this call. */
-    void send(OpenRequest of, String server, long patience) {
+    public void send(OpenRequest of, String server, long patience) {
         Attempt attempt = new Attempt(of, server, patience);
         Endpoint endpoint = endpoints.get(server);
-        if (endpoint == null || connections >= most && !makeRoom(endpoint)) {
+        Connection ready = endpoint == null ? null : endpoint.rested();
+        boolean may = ready != null || endpoint != null && mayConnect(endpoint);
+        if (!may) {
             loop.execute(() -> attempt.end(Outcome.NOT_SENT, 0, null));
             return;
         }
         attempt.expiry = loop.schedule(attempt::expire, patience, TimeUnit.NANOSECONDS);
-        Connection ready = endpoint.rested();
         if (ready != null) {
             ready.write(attempt);
         } else {
@@ -173,11 +204,23 @@
         }
     }
 
+    /** Takes a connection and a connect, both or neither. */
+    private boolean mayConnect(Endpoint to) {
+        if (!slots.takeConnect()) {
+            return false;
+        }
+        boolean may = slots.takeConnection() || makeRoom(to) && slots.takeConnection();
+        if (!may) {
+            slots.giveConnect();
+        }
+        return may;
+    }
+
     private void connect(Endpoint endpoint, Attempt attempt) {
         ChannelFuture connecting = bootstrap.connect(endpoint.address);
-        connections++;
-        connecting.channel().closeFuture().addListener(closed -> connections--);
+        connecting.channel().closeFuture().addListener(closed -> slots.giveConnection());
         connecting.addListener(done -> {
+            slots.giveConnect();
             if (!done.isSuccess() || endpoint.retired) {
                 connecting.channel().close();
                 attempt.end(Outcome.CONNECT_FAILED, 0, null);
@@ -189,19 +232,31 @@
         });
     }
 
-    /** At the bound on connections another server's longest idle one gives way. */
+    /** At the bound on connections another server's longest idle one gives way, or one here that is too fresh. */
     private boolean makeRoom(Endpoint wanted) {
-        if (!wanted.idle.isEmpty()) {
-            return true;
-        }
         for (Endpoint endpoint : endpoints.values()) {
-            Connection oldest = endpoint.idle.pollLast();
-            if (oldest != null) {
-                oldest.channel.close();
+            if (endpoint != wanted && closeOne(endpoint)) {
                 return true;
             }
         }
-        return false;
+        return closeOne(wanted);
+    }
+
+    private static boolean closeOne(Endpoint endpoint) {
+        Connection oldest = endpoint.idle.pollLast();
+        if (oldest != null) {
+            oldest.channel.close();
+        }
+        return oldest != null;
+    }
+
+    /** Lent connections are wanted back: the idle ones go at once, the others as they get free. */
+    public void shrink() {
+        for (Endpoint endpoint : endpoints.values()) {
+            while (slots.mustShrink() && closeOne(endpoint)) {
+                // As many as are wanted, and are idle.
+            }
+        }
     }
 
     private void closeIdle() {
@@ -256,14 +311,14 @@
 
         FullHttpRequest message() {
             FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, of.method, of.uri,
-                of.body.retainedDuplicate());
-            message.headers().set(HttpHeaderNames.HOST, "app.svc").set("X-Trace-Id", of.request.id())
+                of.body().retainedDuplicate());
+            message.headers().set(HttpHeaderNames.HOST, host == null ? of.host : host).set("X-Trace-Id", of.request().id())
                 .set("X-Expires-In-Ms", Math.max(1, (patience - (System.nanoTime() - sentAt)) / MS));
             if (of.key != null) {
                 message.headers().set("Idempotency-Key", of.key);
             }
-            if (of.body.isReadable()) {
-                message.headers().set(HttpHeaderNames.CONTENT_LENGTH, of.body.readableBytes());
+            if (of.body().isReadable()) {
+                message.headers().set(HttpHeaderNames.CONTENT_LENGTH, of.body().readableBytes());
             }
             return message;
         }
@@ -307,7 +362,7 @@
         }
 
         private void release() {
-            if (endpoint.retired || !channel.isActive()) {
+            if (endpoint.retired || !channel.isActive() || slots.mustShrink()) {
                 channel.close();
             } else {
                 idleSince = System.nanoTime();
@@ -316,12 +371,12 @@
         }
 
         @Override
-        boolean expectsAnswer() {
+        protected boolean expectsAnswer() {
             return attempt != null && attempt.written;
         }
 
         @Override
-        void answered(HttpResponse answer, ByteBuf body) {
+        protected void answered(HttpResponse answer, ByteBuf body) {
             Attempt of = attempt;
             attempt = null;
             of.on = null;
@@ -377,7 +432,7 @@
 
         /** The connection's end, or the end of its use. */
         @Override
-        void spoilt() {
+        protected void spoilt() {
             awaitRest(false);
             if (endpoint != null) {
                 endpoint.idle.remove(this);
--- /dev/null
+++ b/src/main/java/rushpin/net/Service.java
@@ -0,0 +1,23 @@
+package rushpin.net;
+
+import io.netty.channel.EventLoop;
+import rushpin.gateway.Ports.Settings;
+import rushpin.membership.Names;
+
+/** A pool as the listening side sees it. Names and settings never change; the rest is called on its loop. */
+public interface Service {
+    /** The one thread that owns the pool. */
+    EventLoop loop();
+
+    /** What the pool's classes and plans are called. */
+    Names names();
+
+    /** What the pool's module was told. */
+    Settings settings();
+
+    /** Takes a request over, with its body; exactly one of the request's answers is called later or from within. */
+    void take(OpenRequest request);
+
+    /** The client left before its answer. */
+    void clientGone(OpenRequest gone);
+}
--- a/src/main/java/rushpin/node/Transport.java
+++ b/src/main/java/rushpin/net/Transport.java
@@ -1,4 +1,4 @@
-package rushpin.node;
+package rushpin.net;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -12,19 +12,19 @@
 import java.net.UnixDomainSocketAddress;
 
 /** The kind of socket that goes with an address: TCP, or a file's for a rehearsal that nobody else can reach. */
-final class Transport {
+public final class Transport {
     private Transport() {
     }
 
     /** For connections to addresses of the kind of {@code like}. */
-    static Bootstrap connecting(EventLoop loop, SocketAddress like) {
+    public static Bootstrap connecting(EventLoop loop, SocketAddress like) {
         Bootstrap bootstrap = new Bootstrap().group(loop);
         return like instanceof UnixDomainSocketAddress ? bootstrap.channel(NioDomainSocketChannel.class)
             : bootstrap.channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
     }
 
     /** For listening at an address of the kind of {@code like}. */
-    static ServerBootstrap listening(EventLoop loop, SocketAddress like) {
+    public static ServerBootstrap listening(EventLoop loop, SocketAddress like) {
         ServerBootstrap bootstrap = new ServerBootstrap().group(loop);
         return like instanceof UnixDomainSocketAddress ? bootstrap.channel(NioServerDomainSocketChannel.class)
             : bootstrap.channel(NioServerSocketChannel.class).option(ChannelOption.SO_REUSEADDR, true)
--- /dev/null
+++ b/src/main/java/rushpin/node/Pool.java
@@ -0,0 +1,299 @@
+package rushpin.node;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+import rushpin.config.PoolPlan;
+import rushpin.gateway.Gateway;
+import rushpin.gateway.Ports;
+import rushpin.gateway.Ports.ListKind;
+import rushpin.gateway.Ports.Outcome;
+import rushpin.gateway.Ports.Result;
+import rushpin.gateway.Ports.Server;
+import rushpin.gateway.Ports.Settings;
+import rushpin.membership.Names;
+import rushpin.membership.Roll;
+import rushpin.net.CounterClient;
+import rushpin.net.DiscoveryClient;
+import rushpin.net.OpenRequest;
+import rushpin.net.RequestReader;
+import rushpin.net.ServerPool;
+import rushpin.net.Service;
+import rushpin.net.Trouble;
+
+/**
+ * One service: its module, its requests, its servers and its counter names. It carries what happens on the sockets to
+ * the module and the module's actions back. All of it runs on one event loop thread, so nothing here is locked and
+ * the module's contract of one caller holds.
+ */
+final class Pool implements Ports.Actions, Service, ServerPool.Listener, DiscoveryClient.Listener {
+    private static final long MS = 1_000_000L;
+    /** So long before the client's deadline a request that the module has left unanswered is failed. */
+    private static final long LAST_MOMENT = 6 * MS;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final PoolPlan plan;
+    private final Budgets budgets;
+    private final Map<String, OpenRequest> open = new HashMap<>();
+    private final ServerPool servers;
+    private final CounterClient counter;
+    private final DiscoveryClient discovery;
+    private Gateway gateway;
+    private Runnable ended;
+    private boolean inside, closed;
+
+    /** Opens nothing yet. */
+    Pool(PoolPlan plan, EventLoop loop, Clock clock, Budgets budgets) {
+        this.plan = plan;
+        this.loop = loop;
+        this.clock = clock;
+        this.budgets = budgets;
+        servers = new ServerPool(this, loop, plan.upstream(), budgets);
+        counter = new CounterClient(this::counted, loop, plan.upstream());
+        discovery = plan.upstream().discovery() == null ? null : new DiscoveryClient(this, loop, plan.upstream());
+    }
+
+    /** Begins with the list as last known; called on the loop. */
+    void start() {
+        gateway = new Gateway(plan.settings(), plan.seed(), now(), this);
+        list(plan.known(), ListKind.CACHED);
+        if (discovery != null) {
+            discovery.start(plan.known().revision());
+        }
+    }
+
+    /** Goes over to other addresses; requests, attempts, the module and its list stay as they are. */
+    void move(PoolPlan changed) {
+        if (discovery != null) {
+            discovery.move(changed.upstream().discovery());
+        }
+        if (changed.upstream().counter() != null) {
+            counter.move(changed.upstream().counter());
+        }
+    }
+
+    /**
+     * Ends the pool once what it has taken is answered and no attempt is out any more. Until then it goes on hearing
+     * of drains: an attempt that is repeated keeps the rules to its end.
+     */
+    void retire(Runnable then) {
+        ended = then;
+        endIfDone();
+    }
+
+    private void endIfDone() {
+        if (ended != null && !closed && open.isEmpty()) {
+            closed = true;
+            if (discovery != null) {
+                discovery.close();
+            }
+            counter.close();
+            servers.close();
+            budgets.close();
+            ended.run();
+        }
+    }
+
+    String name() {
+        return plan.name();
+    }
+
+    PoolPlan plan() {
+        return plan;
+    }
+
+    /** Whether the list has been heard, or has been silent for so long that the known one must do. */
+    boolean ready() {
+        return discovery == null || discovery.heard();
+    }
+
+    private long now() {
+        return clock.now();
+    }
+
+    @Override
+    public EventLoop loop() {
+        return loop;
+    }
+
+    @Override
+    public Names names() {
+        return plan.upstream().names();
+    }
+
+    @Override
+    public Settings settings() {
+        return plan.settings();
+    }
+
+    /**
+     * Runs one event of the module. Sockets may report within an action, that is within an event, and the
+     * module must not be entered twice: such a report waits for the loop.
+     */
+    private void event(OpenRequest about, LongConsumer call) {
+        if (inside) {
+            loop.execute(() -> event(about, call));
+            return;
+        }
+        if (closed) {
+            return;
+        }
+        inside = true;
+        try {
+            call.accept(now());
+        } catch (RuntimeException e) {
+            // One request's trouble must not end the process, nor leave that request without an answer.
+            Trouble.report("the module failed", e);
+            if (about != null) {
+                fail(about);
+                // The module must not go on counting it; an attempt that is out still ends.
+                loop.execute(() -> event(null, now -> gateway.clientGone(now, about.request().id())));
+            }
+        } finally {
+            inside = false;
+        }
+    }
+
+    @Override
+    public void list(Roll roll, ListKind kind) {
+        if (!closed) {
+            List<Server> told = servers.update(roll, kind != ListKind.DELTA);
+            event(null, now -> gateway.list(now, kind, told));
+        }
+    }
+
+    @Override
+    public void take(OpenRequest taken) {
+        if (closed || !budgets.take(taken)) {
+            // Nothing was sent for it, and its pool is full or has just gone: to come again is harmless.
+            taken.answerOnce().refused(Budgets.COME_BACK);
+            taken.settle();
+            return;
+        }
+        if (open.putIfAbsent(taken.request().id(), taken) != null) {
+            budgets.give(taken);
+            taken.answerOnce().duplicate();
+            taken.settle();
+            return;
+        }
+        long left = taken.request().deadline() + RequestReader.ANSWER_MARGIN - LAST_MOMENT - now();
+        // The backstop for a module that is late: no request may be left without an answer.
+        taken.backstop(loop.schedule(() -> overdue(taken), Math.max(0, left), TimeUnit.NANOSECONDS));
+        event(taken, now -> gateway.request(now, taken.request()));
+    }
+
+    private void overdue(OpenRequest late) {
+        if (!late.isAnswered()) {
+            fail(late);
+            event(null, now -> gateway.clientGone(now, late.request().id()));
+        }
+    }
+
+    @Override
+    public void clientGone(OpenRequest gone) {
+        if (gone.answerOnce() != null) {
+            settle(gone);
+            event(gone, now -> gateway.clientGone(now, gone.request().id()));
+        }
+    }
+
+    @Override
+    public void attemptEnded(OpenRequest of, Outcome outcome, long took, String server, double units, ByteBuf body) {
+        of.attemptEnds();
+        int attempt = of.attempts() - 1;
+        if (outcome == Outcome.OK) {
+            OpenRequest.Answers answers = of.answerOnce();
+            if (answers != null) {
+                answers.served(body);
+            }
+        }
+        boolean complete = of.isAnswered();
+        event(of, now -> gateway.attemptEnded(now,
+            new Result(of.request().id(), outcome, took, server, complete, attempt, units, List.of())));
+        settle(of);
+    }
+
+    private void counted(long name, Outcome outcome, double total) {
+        event(null, now -> gateway.counted(now, name, outcome, total));
+    }
+
+    /** Forgets a request once it is answered and no attempt of it is out. */
+    private void settle(OpenRequest of) {
+        if (of.isAnswered() && !of.isAttemptOut() && open.remove(of.request().id(), of)) {
+            budgets.give(of);
+            of.settle();
+            endIfDone();
+        }
+    }
+
+    @Override
+    public void send(String id, String server, long patience) {
+        OpenRequest of = open.get(id);
+        if (of == null || of.isAnswered() || of.isAttemptOut()) {
+            // It may not go out, but the module counts it as out until it hears how it ended.
+            Result moot = new Result(id, Outcome.NOT_SENT, 0, server, of == null || of.isAnswered(), 0, 0, List.of());
+            loop.execute(() -> event(null, now -> gateway.attemptEnded(now, moot)));
+            return;
+        }
+        of.attemptBegins();
+        servers.send(of, server, patience);
+    }
+
+    @Override
+    public void refuse(String id, long retryAfter) {
+        OpenRequest of = open.get(id);
+        OpenRequest.Answers answers = of == null ? null : of.answerOnce();
+        if (answers != null) {
+            answers.refused(retryAfter);
+            settle(of);
+        }
+    }
+
+    @Override
+    public void fail(String id) {
+        OpenRequest of = open.get(id);
+        if (of != null) {
+            fail(of);
+        }
+    }
+
+    private void fail(OpenRequest of) {
+        OpenRequest.Answers answers = of.answerOnce();
+        if (answers != null) {
+            answers.failed();
+            settle(of);
+        }
+    }
+
+    @Override
+    public void probe(String server) {
+        // The site does not allow it, and the module asks only where the settings do.
+    }
+
+    @Override
+    public void count(long name, double amount, long lifetime) {
+        counter.count(name, amount, lifetime);
+    }
+
+    @Override
+    public void timer(long token, long span) {
+        if (!closed) {
+            loop.schedule(() -> event(null, now -> gateway.timer(now, token)), span, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    @Override
+    public void watchList() {
+        // Discovery is watched from the start and again whenever a watch ends.
+    }
+
+    @Override
+    public void log(String text) {
+        System.out.println(plan.name().isEmpty() ? text : plan.name() + ": " + text);
+    }
+}
--- a/src/main/java/rushpin/node/Rehearsal.java
+++ b/src/main/java/rushpin/node/Rehearsal.java
@@ -34,12 +34,20 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import rushpin.config.Config;
 import rushpin.gateway.Ports.Plan;
 import rushpin.gateway.Ports.Readiness;
 import rushpin.gateway.Ports.Repeat;
 import rushpin.gateway.Ports.RequestClass;
 import rushpin.gateway.Ports.Server;
 import rushpin.gateway.Ports.Settings;
+import rushpin.membership.Member;
+import rushpin.membership.Roll;
+import rushpin.net.AnswerDecoder;
+import rushpin.net.AnswerHandler;
+import rushpin.net.ServerPool;
+import rushpin.net.Transport;
+import rushpin.net.Trouble;
 
 /**
  * What a node does before it serves: a second node of the same settings, with a module of its own, answers made-up
@@ -86,7 +94,7 @@
         try (Rehearsal rehearsal = new Rehearsal(config, requests, parent)) {
             return rehearsal.play(span);
         } catch (Exception e) {
-            EdgeNode.trouble("no rehearsal", e);
+            Trouble.report("no rehearsal", e);
             return 0;
         }
     }
@@ -97,18 +105,18 @@
     }
 
     private int play(long span) throws Exception {
-        List<Config.Member> members = new ArrayList<>();
+        List<Member> members = new ArrayList<>();
         for (int i = 0; i < SERVERS; i++) {
             SocketAddress address = file("s" + i);
             Transport.listening(loop, address).childHandler(handlers(() -> new ChannelHandler[] {
                 new HttpServerCodec(), new StandIn()})).bind(address).sync();
             long started = i > 0 ? 0 : TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
-            members.add(new Config.Member(new Server("rehearsal-" + i, 1, i % Math.max(1, config.names().zones().size()), i, 0,
+            members.add(new Member(new Server("rehearsal-" + i, 1, i % Math.max(1, config.names().zones().size()), i, 0,
                 Readiness.READY, started), address));
         }
         SocketAddress peer = members.get(0).address();
         Config mine = new Config(file("n"), peer, config.counter() == null ? null : peer, config.seed(),
-            config.sockets(), config.memory(), new Config.Roll(1, true, members), config.connectTimeout(),
+            config.sockets(), config.memory(), new Roll(1, true, members), config.connectTimeout(),
             config.keepAlive(), config.names(), unceiled(config.settings()));
         try (EdgeNode node = new EdgeNode(mine)) {
             node.start();
@@ -235,12 +243,12 @@
         }
 
         @Override
-        boolean expectsAnswer() {
+        protected boolean expectsAnswer() {
             return true;
         }
 
         @Override
-        void answered(HttpResponse answer, ByteBuf body) {
+        protected void answered(HttpResponse answer, ByteBuf body) {
             served += answer.status().equals(HttpResponseStatus.OK) ? 1 : 0;
             if (++answered >= requests && System.nanoTime() - begun > INTERVALS) {
                 done.complete(null);
@@ -255,7 +263,7 @@
         }
 
         @Override
-        void spoilt() {
+        protected void spoilt() {
             done.complete(null);
         }
     }
--- a/src/test/java/rushpin/node/CounterClientTest.java
+++ b/src/test/java/rushpin/node/CounterClientTest.java
@@ -17,6 +17,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import rushpin.config.Config;
+import rushpin.net.CounterClient;
 
 /** Calls to a counter that is late, spoils its answers or moves. */
 @Timeout(120)
@@ -33,7 +35,7 @@
         loop = group.next();
         Config config = counting(counter);
         client = loop.submit(() -> new CounterClient((name, outcome, total) ->
-            told.add(name + " " + outcome + " " + total), loop, config)).get();
+            told.add(name + " " + outcome + " " + total), loop, config.upstream())).get();
     }
 
     private Config counting(Peer at) throws Exception {
--- a/src/test/java/rushpin/node/EdgeNodeTest.java
+++ b/src/test/java/rushpin/node/EdgeNodeTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import rushpin.config.Config;
 
 /** An edge node between scripted peers on loopback sockets; each test waits for events, never for a time. */
 @Timeout(120)
--- a/src/test/java/rushpin/node/RehearsalTest.java
+++ b/src/test/java/rushpin/node/RehearsalTest.java
@@ -14,6 +14,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import rushpin.config.Config;
 
 /** What a node does before it serves, and that nobody but itself hears of it. */
 class RehearsalTest extends Stage {
--- a/src/test/java/rushpin/node/ReloadTest.java
+++ b/src/test/java/rushpin/node/ReloadTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import rushpin.config.Config;
 
 /** A new configuration while the node serves. */
 @Timeout(120)
--- a/src/test/java/rushpin/node/RudeClientTest.java
+++ b/src/test/java/rushpin/node/RudeClientTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import rushpin.net.ByteBudget;
 
 /** Clients that send what is no request, too much, too little or nothing. */
 @Timeout(120)
--- a/src/test/java/rushpin/node/Stage.java
+++ b/src/test/java/rushpin/node/Stage.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Timeout;
+import rushpin.config.Config;
 
 /** What the tests of a node share: scripted peers on loopback sockets, a node between them, and its clients. */
 @Timeout(120)
