--- a/src/main/java/rushpin/cli/Main.java
+++ b/src/main/java/rushpin/cli/Main.java
@@ -3,9 +3,12 @@
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import rushpin.config.Config;
+import rushpin.config.Operator;
+import rushpin.config.OperatorFile;
 import rushpin.drill.Drill;
 import rushpin.node.EdgeNode;
 import rushpin.node.Rehearsal;
@@ -15,20 +18,58 @@
     /** How long a start's rehearsal is: so many requests, or so many milliseconds where these take longer. */
     private static final int REHEARSED = 1_000;
     private static final long REHEARSAL_MS = 2_000;
+    private static final String USAGE = "usage: rushpin.jar serve [--operator FILE] | check FILE | rig [NAME] | drill";
 
     private Main() {
     }
 
     /** Picks the word. */
     public static void main(String[] args) {
-        switch (args.length == 1 ? args[0] : "") {
-            case "serve" -> serve(System.getenv("GW_CONFIG"));
+        String word = args.length == 0 ? "" : args[0];
+        switch (word) {
+            case "serve" -> serve(System.getenv("GW_CONFIG"), operator(args));
             case "drill" -> Drill.main(args);
-            default -> exit(2, "usage: rushpin.jar serve|drill");
+            case "check" -> Runtime.getRuntime().halt(check(args));
+            case "rig" -> Runtime.getRuntime().halt(RigCommand.run(Arrays.copyOfRange(args, 1, args.length)));
+            default -> exit(2, USAGE);
         }
     }
 
-    private static void serve(String file) {
+    /** The operator's file that a start names, or null. */
+    private static Path operator(String[] args) {
+        if (args.length == 3 && args[1].equals("--operator")) {
+            return Path.of(args[2]);
+        }
+        if (args.length != 1) {
+            exit(2, USAGE);
+        }
+        String named = System.getenv("RUSHPIN_OPERATOR");
+        return named == null || named.isBlank() ? null : Path.of(named);
+    }
+
+    /** Prints all faults of an operator's file; 0 if there are none. */
+    private static int check(String[] args) {
+        if (args.length != 2) {
+            System.err.println(USAGE);
+            return 2;
+        }
+        try {
+            String platform = System.getenv("GW_CONFIG");
+            Operator read = OperatorFile.read(Path.of(args[1]),
+                platform == null || platform.isEmpty() ? null : Config.read(Path.of(platform)));
+            System.out.println(args[1] + ": good, " + read.pools().size() + " pools, " + read.routes().size() + " routes");
+            return 0;
+        } catch (Operator.Faulty e) {
+            e.faults().forEach(fault -> System.out.println(args[1] + ": " + fault));
+            System.out.println(args[1] + ": " + e.faults().size() + (e.faults().size() == 1 ? " fault" : " faults"));
+            return 1;
+        } catch (Config.Invalid e) {
+            System.out.println("GW_CONFIG: " + e.getMessage());
+            return 1;
+        }
+    }
+
+    private static void serve(String file, Path operator) {
         if (file == null || file.isEmpty()) {
             exit(2, "GW_CONFIG must name the configuration file");
             return;
@@ -38,20 +79,28 @@
         try {
             Path path = Path.of(file);
             AtomicReference<EdgeNode> serving = new AtomicReference<>();
-            onHangup(() -> reload(serving.get(), path));
+            onHangup(() -> reload(serving.get(), path, operator));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(serving.get()), "stop"));
             String folder = System.getenv().getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"));
+            if (operator != null) {
+                // A fault is told before the rehearsal, not after it.
+                OperatorFile.read(operator, Config.read(path));
+            }
             long begun = System.nanoTime();
             int rehearsed = Rehearsal.hold(Config.read(path), REHEARSED, REHEARSAL_MS, Path.of(folder));
             System.out.println("rehearsed with " + rehearsed + " requests in "
                 + (System.nanoTime() - begun) / 1_000_000 + " ms");
             // The file is read again: a signal may have come meanwhile.
-            EdgeNode node = new EdgeNode(Config.read(path));
+            Config config = Config.read(path);
+            EdgeNode node = new EdgeNode(config, operator == null ? null : OperatorFile.read(operator, config));
             serving.set(node);
             node.start();
             System.out.println("serving on " + node.address());
         } catch (Config.Invalid e) {
             exit(1, e.getMessage());
+        } catch (Operator.Faulty e) {
+            e.faults().forEach(fault -> System.err.println(operator + ": " + fault));
+            exit(1, operator + " cannot be used");
         } catch (Exception e) {
             exit(1, "cannot start: " + e.getMessage());
         }
@@ -66,7 +115,7 @@
     }
 
     /** A file that cannot be used costs one line; the settings that the node has stay as they are. */
-    private static void reload(EdgeNode node, Path file) {
+    private static void reload(EdgeNode node, Path file, Path operator) {
         if (node == null) {
             // The file will be read when the node is made.
             return;
@@ -74,7 +123,8 @@
         try {
             // One at a time: signals may follow each other faster than the file is read.
             synchronized (node) {
-                node.reload(Config.read(file));
+                Config config = Config.read(file);
+                node.reload(config, operator == null ? null : OperatorFile.read(operator, config));
             }
             System.out.println("configuration read again");
         } catch (Exception e) {
--- /dev/null
+++ b/src/main/java/rushpin/cli/RigCommand.java
@@ -0,0 +1,54 @@
+package rushpin.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import rushpin.rig.Report;
+import rushpin.rig.Rig;
+import rushpin.rig.Scenario;
+
+/** {@code rig NAME}: plays a scenario on loopback, with stand-ins of this program. */
+@Command(name = "rig", mixinStandardHelpOptions = true,
+    description = "Plays a scenario; without a name, lists them. Exit 0: holds, 1: falls short, 2: wrong words.")
+final class RigCommand implements Callable<Integer> {
+    @Parameters(index = "0", arity = "0..1", paramLabel = "NAME", description = "The scenario.")
+    private String name;
+
+    @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "Where all chance comes from (1).")
+    private long seed;
+
+    @Option(names = "--short", description = "30 s at most.")
+    private boolean isShort;
+
+    @Option(names = "--json", paramLabel = "FILE", description = "Writes the report there too.")
+    private Path json;
+
+    @Option(names = "--other", paramLabel = "JAR", description = "cost: another build to compare with.")
+    private Path other;
+
+    static int run(String[] args) {
+        return new CommandLine(new RigCommand()).execute(args);
+    }
+
+    @Override
+    public Integer call() throws Exception {
+        if (name == null) {
+            Rig.all().forEach(one -> System.out.printf("%-8s %s%n", one.name(), one.line()));
+            return 0;
+        }
+        Scenario scenario = Rig.named(name);
+        if (scenario == null) {
+            System.err.println("there is no scenario " + name + "; rig alone lists them");
+            return 2;
+        }
+        Report report = scenario.play(new Scenario.Options(seed, isShort, other));
+        report.print(System.out);
+        if (json != null) {
+            report.write(json);
+        }
+        return report.holds() ? 0 : 1;
+    }
+}
--- a/src/main/java/rushpin/config/Config.java
+++ b/src/main/java/rushpin/config/Config.java
@@ -45,20 +45,33 @@
         }
     }
 
+    /** Reads the platform's file. */
     public static Config read(Path file) throws Invalid {
-        String text;
+        return parse(text(file), false);
+    }
+
+    /** Reads a file of the same form for one pool: where it need not say, {@code listen}, {@code discovery}, ... */
+    public static Config readPool(Path file) throws Invalid {
+        return parse(text(file), true);
+    }
+
+    private static String text(Path file) throws Invalid {
         try {
-            text = Files.readString(file);
+            return Files.readString(file);
         } catch (IOException e) {
             throw new Invalid("the configuration " + file + " cannot be read: " + e.getMessage());
         }
-        return parse(text);
     }
 
     /** Reads a configuration's text. */
     public static Config parse(String text) throws Invalid {
+        return parse(text, false);
+    }
+
+    /** Reads a configuration's text, for a pool or for the whole process. */
+    private static Config parse(String text, boolean pool) throws Invalid {
         try {
-            return parse(JSON.readTree(text));
+            return parse(JSON.readTree(text), pool);
         } catch (JsonProcessingException e) {
             throw new Invalid("the configuration is not JSON: " + e.getOriginalMessage().replace('\n', ' '));
         } catch (RollReader.Malformed e) {
@@ -66,8 +79,9 @@
         }
     }
 
-    private static Config parse(JsonNode root) throws Invalid, RollReader.Malformed {
+    private static Config parse(JsonNode root, boolean pool) throws Invalid, RollReader.Malformed {
         Map<String, String> pairs = new HashMap<>();
+        List<String> faults = new ArrayList<>();
         flatten("settings", RollReader.present(root, "settings"), pairs);
         List<String> required = new ArrayList<>(List.of("my-number", "siblings", "my-zone", "tick-ns",
             "caps.max-attempts", "caps.max-open", "caps.connect-timeout-ns", "caps.keepalive-ns",
@@ -82,7 +96,7 @@
             }
             String idempotency = "classes." + i + ".idempotency";
             if (!List.of("retryable", "dedup", "fragile").contains(pairs.getOrDefault(idempotency, ""))) {
-                throw new Invalid("settings." + idempotency + " is not retryable, dedup or fragile");
+                faults.add("settings." + idempotency + " is not retryable, dedup or fragile");
             }
         }
         for (int i = 0; i < names.plans().size(); i++) {
@@ -92,9 +106,17 @@
         }
         for (String key : required) {
             if (!pairs.containsKey(key)) {
-                throw new Invalid("settings." + key + " is missing");
+                faults.add("settings." + key + " is missing");
+                continue;
+            }
+            try {
+                number(pairs, key);
+            } catch (Invalid e) {
+                faults.add(e.getMessage());
             }
-            number(pairs, key);
+        }
+        if (!faults.isEmpty()) {
+            throw new Invalid(String.join("; ", faults));
         }
         Settings read;
         try {
@@ -103,14 +125,19 @@
             throw new Invalid("settings." + e.getMessage());
         }
         boolean counted = read.counter().present();
-        return new Config(RollReader.address(root, "listen"), RollReader.address(root, "discovery"),
-            counted ? RollReader.address(root, "counter") : null, seed(RollReader.present(root, "seed")),
+        return new Config(addressOf(root, "listen", pool), addressOf(root, "discovery", pool),
+            counted ? addressOf(root, "counter", pool) : null,
+            pool && !root.hasNonNull("seed") ? 0 : seed(RollReader.present(root, "seed")),
             root.path("limits").path("sockets").asInt(256), root.path("limits").path("memory_mb").asLong(64) << 20,
             root.hasNonNull("known") ? RollReader.read(root.get("known"), names) : new Roll(0, true, List.of()),
             (long) number(pairs, "caps.connect-timeout-ns"), (long) number(pairs, "caps.keepalive-ns"),
             names, read);
     }
 
+    private static SocketAddress addressOf(JsonNode root, String key, boolean mayLack) throws RollReader.Malformed {
+        return mayLack && !root.hasNonNull(key) ? null : RollReader.address(root, key);
+    }
+
     /** What the sockets towards app servers, counter and discovery need of this. */
     public Upstream upstream() {
         return new Upstream(discovery, counter, settings.counter().timeout(), connectTimeout, keepAlive,
--- /dev/null
+++ b/src/main/java/rushpin/config/Operator.java
@@ -0,0 +1,40 @@
+package rushpin.config;
+
+import java.util.List;
+import rushpin.route.Route;
+
+/**
+ * The operator's file, checked whole.
+ *
+ * @param total what the process deals out to its pools
+ * @param pools the pools, each name once
+ * @param routes which requests go to which of them, without ties
+ */
+public record Operator(Grants total, List<PoolPlan> pools, List<Route> routes) {
+    /** A fault in the file. */
+    public record Fault(String key, int line, String found, String allowed) {
+        @Override
+        public String toString() {
+            return (line > 0 ? "line " + line + ": " : "") + (key.isEmpty() ? "" : key + ": ") + found
+                + (allowed.isEmpty() ? "" : "; allowed: " + allowed);
+        }
+    }
+
+    /** A file that cannot be used, with all its faults; nothing of it was taken. */
+    public static final class Faulty extends Exception {
+        private static final long serialVersionUID = 1L;
+        private final transient List<Fault> faults;
+
+        /** Names the faults, in the order of the file. */
+        public Faulty(List<Fault> faults) {
+            super(faults.size() == 1 ? faults.get(0).toString()
+                : faults.size() + " faults, the first: " + faults.get(0));
+            this.faults = List.copyOf(faults);
+        }
+
+        /** All faults, in the order of the file. */
+        public List<Fault> faults() {
+            return faults;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rushpin/config/OperatorFile.java
@@ -0,0 +1,343 @@
+package rushpin.config;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToLongFunction;
+import org.tomlj.Toml;
+import org.tomlj.TomlParseResult;
+import rushpin.config.Operator.Fault;
+import rushpin.membership.Member;
+import rushpin.membership.Roll;
+import rushpin.membership.discovery.RollReader;
+import rushpin.net.ByteBudget;
+import rushpin.net.Upstream;
+import rushpin.route.Reading;
+import rushpin.route.Route;
+import rushpin.route.RouteTable;
+
+/**
+ * Reads the operator's file (TOML 1.0) and the settings it names, whole: all faults are told at once, and with one of
+ * them nothing of the file is taken.
+ */
+public final class OperatorFile {
+    /** Bounds that keep a slip of the pen from becoming a process that never starts. */
+    private static final int MOST_POOLS = 32, MOST_ROUTES = 1_000, MOST_NAME = 32;
+    private static final long MOST = 1L << 40;
+    private static final String PLATFORM = "platform", NONE = "none";
+
+    private final Path folder;
+    private final Config platform;
+    private final List<Fault> faults = new ArrayList<>();
+    private final Map<String, Keys> pools = new LinkedHashMap<>();
+    private final Map<String, Config> settings = new HashMap<>();
+
+    private OperatorFile(Path folder, Config platform) {
+        this.folder = folder;
+        this.platform = platform;
+    }
+
+    /**
+     * Reads the file.
+     *
+     * @param platform the platform's JSON; null where a file is only checked and none is at hand
+     */
+    public static Operator read(Path file, Config platform) throws Operator.Faulty {
+        String text;
+        try {
+            text = Files.readString(file);
+        } catch (IOException e) {
+            throw new Operator.Faulty(List.of(new Fault("", 0, "the operator's file " + file + " cannot be read: "
+                + e.getMessage(), "")));
+        }
+        Path folder = file.toAbsolutePath().getParent();
+        return parse(text, folder, platform);
+    }
+
+    /** Reads the file's text; other files are named from {@code folder}. */
+    public static Operator parse(String text, Path folder, Config platform) throws Operator.Faulty {
+        return new OperatorFile(folder, platform).read(text);
+    }
+
+    private Operator read(String text) throws Operator.Faulty {
+        TomlParseResult toml = Toml.parse(text);
+        if (toml.hasErrors()) {
+            throw new Operator.Faulty(toml.errors().stream().map(e -> new Fault("", e.position().line(),
+                "this is not TOML: " + e.getMessage().replace('\n', ' '), "")).toList());
+        }
+        Keys root = new Keys(toml, "", 0, faults);
+        Keys process = root.table("process");
+        int sockets = platform == null ? 1024 : platform.sockets();
+        long memory = platform == null ? 128L << 20 : platform.memory();
+        Grants total = grants(process, new Grants(sockets, Math.max(16, sockets * 3L / 8),
+            ByteBudget.most(memory) / 2, Math.max(8, sockets / 16)), new Grants(MOST, MOST, MOST, MOST));
+        process.done();
+        List<Keys> tables = root.tables("pool", MOST_POOLS);
+        if (tables.isEmpty()) {
+            root.fault("pool", "there is none", "one table [[pool]] for each service, " + MOST_POOLS + " at most");
+        }
+        List<PoolPlan> plans = new ArrayList<>();
+        for (Keys pool : tables) {
+            PoolPlan plan = pool(pool, total, Math.max(1, tables.size()));
+            if (plan != null) {
+                plans.add(plan);
+            }
+        }
+        List<Route> routes = routes(root);
+        root.done();
+        checkSums(process, total, plans);
+        checkApart(plans);
+        for (Map.Entry<String, Keys> pool : pools.entrySet()) {
+            if (routes.stream().noneMatch(route -> route.pool().equals(pool.getKey()))) {
+                pool.getValue().fault("name", "no [[route]] leads to pool " + pool.getKey(), "one at least");
+            }
+        }
+        if (!faults.isEmpty()) {
+            faults.sort((a, b) -> Integer.compare(a.line(), b.line()));
+            throw new Operator.Faulty(faults);
+        }
+        return new Operator(total, List.copyOf(plans), List.copyOf(routes));
+    }
+
+    private static Grants grants(Keys at, Grants otherwise, Grants most) {
+        return new Grants(at.whole("requests", otherwise.requests(), 1, most.requests()),
+            at.whole("connections", otherwise.connections(), 1, most.connections()),
+            at.whole("body-bytes", otherwise.bytes(), 1, most.bytes()),
+            at.whole("connects", otherwise.connects(), 1, most.connects()));
+    }
+
+    private PoolPlan pool(Keys pool, Grants total, int count) {
+        int before = faults.size();
+        String name = pool.text("name", true);
+        if (name != null && (!name.matches("[a-z0-9][a-z0-9-]*") || name.length() > MOST_NAME)) {
+            pool.fault("name", "found \"" + name + "\"", "up to " + MOST_NAME + " of a-z, 0-9 and '-', a letter or digit first");
+        } else if (name != null && pools.putIfAbsent(name, pool) != null) {
+            pool.fault("name", "pool " + name + " stands there twice", "each name once");
+        }
+        String from = pool.text("settings", true);
+        Config config = from == null ? null : settings(pool, from);
+        String discovery = pool.text("discovery", false);
+        String counter = pool.text("counter", false);
+        String space = pool.text("counter-space", false);
+        if (space != null && (!space.matches("[A-Za-z0-9-]*") || space.length() > MOST_NAME)) {
+            pool.fault("counter-space", "found \"" + space + "\"", "up to " + MOST_NAME + " letters, digits and '-'");
+        }
+        String host = pool.text("host", false);
+        String loop = pool.word("loop", "shared", List.of("shared", "own"));
+        Keys guaranteed = pool.table("guaranteed");
+        Grants part = grants(guaranteed, new Grants(half(total.requests(), count), half(total.connections(), count),
+            half(total.bytes(), count), half(total.connects(), count)), total);
+        guaranteed.done();
+        SocketAddress watched = config == null ? null : address(pool, "discovery", discovery, config.discovery());
+        SocketAddress counts = config == null ? null : address(pool, "counter", counter, config.counter());
+        pool.done();
+        if (config == null || name == null || faults.size() > before) {
+            return null;
+        }
+        if (config.settings().counter().present() && counts == null) {
+            pool.fault("counter", "the settings have a counter and no address is given", "host:port");
+            return null;
+        }
+        Upstream upstream = new Upstream(watched, config.settings().counter().present() ? counts : null,
+            config.settings().counter().timeout(), config.connectTimeout(), config.keepAlive(),
+            config.settings().counter().largest(), config.names(), (space == null ? name : space) + ".",
+            host);
+        return new PoolPlan(name, upstream, config.settings(), seed(config, name),
+            config.known(), loop.equals("own"), part);
+    }
+
+    /** Chance of its own for each pool of each node and each start: the platform's seed is new with each. */
+    private long seed(Config config, String name) {
+        return (platform == null ? config : platform).seed() ^ name.hashCode() * 0x9E3779B97F4A7C15L;
+    }
+
+    private static long half(long total, int count) {
+        return Math.max(1, total / 2 / count);
+    }
+
+    private Config settings(Keys pool, String from) {
+        if (from.equals(PLATFORM)) {
+            if (platform == null) {
+                pool.fault("settings", "GW_CONFIG names no file to take the platform's settings from",
+                    "GW_CONFIG, or the path of a JSON file of the platform's form");
+            }
+            return platform;
+        }
+        Config known = settings.get(from);
+        if (known == null) {
+            try {
+                known = Config.readPool(folder.resolve(from));
+                settings.put(from, known);
+            } catch (Config.Invalid e) {
+                pool.fault("settings", from + ": " + e.getMessage(), "a JSON file of the platform's form");
+            }
+        }
+        return known;
+    }
+
+    private SocketAddress address(Keys pool, String key, String text, SocketAddress otherwise) {
+        if (text == null) {
+            return otherwise;
+        }
+        if (text.equals(NONE)) {
+            return null;
+        }
+        try {
+            return RollReader.address(text, key);
+        } catch (RollReader.Malformed e) {
+            pool.fault(key, "found \"" + text + "\"", "host:port with a port from 1 to 65535, or \"" + NONE + "\"");
+            return null;
+        }
+    }
+
+    private List<Route> routes(Keys root) {
+        List<Route> routes = new ArrayList<>();
+        List<Keys> at = new ArrayList<>();
+        for (Keys table : root.tables("route", MOST_ROUTES)) {
+            Route route = route(table);
+            if (route != null) {
+                routes.add(route);
+                at.add(table);
+            }
+        }
+        for (RouteTable.Tie tie : RouteTable.ties(routes)) {
+            at.get(tie.second()).fault("", "ties with the route at line " + at.get(tie.first()).line("")
+                + ": a request may match both and neither is the more specific",
+                "another host, path, method or class, or more headers in one of them");
+        }
+        return routes;
+    }
+
+    private Route route(Keys table) {
+        int before = faults.size();
+        String pool = table.text("pool", true);
+        if (pool != null && !pools.containsKey(pool)) {
+            table.fault("pool", "no [[pool]] is called " + pool + Keys.nearest(pool, pools.keySet()),
+                String.join(", ", pools.keySet()));
+        }
+        String host = host(table, table.text("host", false));
+        String path = path(table, "path");
+        String prefix = path(table, "prefix");
+        if (path != null && prefix != null) {
+            table.fault("prefix", "path and prefix are both there", "one of them");
+        }
+        String method = table.text("method", false);
+        if (method != null && !method.matches("[A-Z]+")) {
+            table.fault("method", "found \"" + method + "\"", "a method in capitals, as GET or POST");
+        }
+        String requestClass = table.text("class", false);
+        if (requestClass != null && pool != null && pools.containsKey(pool)) {
+            checkClass(table, pool, requestClass);
+        }
+        Map<String, String> headers = new LinkedHashMap<>();
+        Keys named = table.table("headers");
+        for (String key : named.free()) {
+            String value = named.text(key, true);
+            if (!key.matches("[A-Za-z0-9!#$%&'*+.^_`|~-]+")) {
+                named.fault(key, "is no header's name", "letters, digits and !#$%&'*+.^_`|~-");
+            } else if (headers.put(key.toLowerCase(Locale.ROOT), value) != null) {
+                named.fault(key, "stands there twice", "each header once, in upper or lower case");
+            }
+        }
+        table.done();
+        return faults.size() > before ? null : new Route(pool, host, path, prefix, method, requestClass, headers);
+    }
+
+    private void checkClass(Keys table, String pool, String requestClass) {
+        String from = pools.get(pool).text("settings", false);
+        Config config = from == null ? null : from.equals(PLATFORM) ? platform : settings.get(from);
+        if (config != null && !config.names().classes().contains(requestClass)) {
+            table.fault("class", "pool " + pool + " has no class " + requestClass
+                + Keys.nearest(requestClass, config.names().classes()), String.join(", ", config.names().classes()));
+        }
+    }
+
+    private static String host(Keys table, String host) {
+        if (host == null) {
+            return null;
+        }
+        String name = host.startsWith("*.") ? host.substring(2) : host;
+        try {
+            Reading reading = Reading.of("/", name, true);
+            if (reading.host().equals(name)) {
+                return host;
+            }
+        } catch (Reading.Ambiguous e) {
+            // Said below.
+        }
+        table.fault("host", "found \"" + host + "\"",
+            "a name in lower case without port and closing dot, or *.name for all below it");
+        return null;
+    }
+
+    private static String path(Keys table, String key) {
+        String path = table.text(key, false);
+        if (path == null) {
+            return null;
+        }
+        String why = path.startsWith("/") ? "" : "it does not begin with '/'";
+        if (why.isEmpty() && key.equals("prefix") && path.length() > 1 && path.endsWith("/")) {
+            why = "a prefix is whole segments and has no '/' at its end";
+        }
+        try {
+            Reading.checkPath(path);
+        } catch (Reading.Ambiguous e) {
+            why = e.getMessage();
+        }
+        if (!why.isEmpty()) {
+            table.fault(key, "found \"" + path + "\": " + why, "a path with one reading, from '/'");
+        }
+        return path;
+    }
+
+    private void checkSums(Keys process, Grants total, List<PoolPlan> plans) {
+        checkSum(process, "requests", total, plans, Grants::requests);
+        checkSum(process, "connections", total, plans, Grants::connections);
+        checkSum(process, "body-bytes", total, plans, Grants::bytes);
+        checkSum(process, "connects", total, plans, Grants::connects);
+        if (platform != null && total.connections() > platform.sockets() / 2) {
+            process.fault("connections", "found " + total.connections(), "half of the process's descriptors, "
+                + platform.sockets() / 2 + ", at most: clients have the other half");
+        }
+    }
+
+    private static void checkSum(Keys process, String key, Grants total, List<PoolPlan> plans,
+                                 ToLongFunction<Grants> of) {
+        long sum = plans.stream().mapToLong(plan -> of.applyAsLong(plan.guaranteed())).sum();
+        if (sum > of.applyAsLong(total)) {
+            process.fault(key, "the pools' guaranteed parts add up to " + sum, of.applyAsLong(total)
+                + " at most, which is " + process.path(key));
+        }
+    }
+
+    /** What two pools must not have in common. */
+    private void checkApart(List<PoolPlan> plans) {
+        Map<SocketAddress, String> servers = new HashMap<>();
+        Set<String> spaces = new HashSet<>();
+        for (PoolPlan plan : plans) {
+            Upstream upstream = plan.upstream();
+            if (upstream.counter() != null && !spaces.add(upstream.counter() + " " + upstream.countPrefix())) {
+                pools.get(plan.name()).fault("counter-space", "another pool counts under the same names at "
+                    + upstream.counter(), "a counter-space of its own for each pool");
+            }
+            Roll known = upstream.discovery() == null ? plan.known() : new Roll(0, true, List.of());
+            for (Member member : known.members()) {
+                String other = servers.putIfAbsent(member.address(), plan.name());
+                if (other != null && !other.equals(plan.name())) {
+                    pools.get(plan.name()).fault("settings", "server " + member.server().id() + " at "
+                        + member.address() + " belongs to pool " + other + " too", "each address in one pool: two that"
+                        + " don't know of each other's sends would push a cold server over");
+                }
+            }
+        }
+    }
+}
--- a/src/main/java/rushpin/membership/discovery/RollReader.java
+++ b/src/main/java/rushpin/membership/discovery/RollReader.java
@@ -72,7 +72,11 @@
 
     /** The address that stands under a key, as host:port. */
     public static InetSocketAddress address(JsonNode node, String key) throws Malformed {
-        String text = present(node, key).asText();
+        return address(present(node, key).asText(), key);
+    }
+
+    /** An address as host:port; {@code key} names it in what is said of one that is none. */
+    public static InetSocketAddress address(String text, String key) throws Malformed {
         int colon = text.lastIndexOf(':');
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
--- a/src/main/java/rushpin/net/ByteBudget.java
+++ b/src/main/java/rushpin/net/ByteBudget.java
@@ -14,7 +14,12 @@
 
     /** A sixteenth of the memory, within bounds. */
     public ByteBudget(long memory) {
-        most = Math.max(LEAST, Math.min(MOST, memory / 16));
+        most = most(memory);
+    }
+
+    /** How many bytes a process of so much memory may hold. */
+    public static long most(long memory) {
+        return Math.max(LEAST, Math.min(MOST, memory / 16));
     }
 
     /** Whether a request that holds, or will hold, so much may go on growing. */
--- a/src/main/java/rushpin/net/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -32,6 +32,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import rushpin.budget.Turns;
 
 /** The listening side: reads clients' requests, turns away what is none, and writes the answers. */
 public final class ClientServer {
@@ -43,6 +44,8 @@
      * first byte; how long a connection may stand idle; and how often this is looked at.
      */
     private static final long MS = 1_000_000L, WHOLE = 2_500 * MS, IDLE = 2_000 * MS, SWEEP = 250 * MS;
+    /** For how long requests are decoded before the loop looks at its sockets again. */
+    private static final long SLICE = MS;
 
     private final Front node;
     private final EventLoop loop;
@@ -50,16 +53,25 @@
     private final ByteBudget budget;
     private final Set<Session> sessions = new LinkedHashSet<>();
     private final int most, mostKept;
+    /** Where several pools share this loop: whose connection is read next; else null, and each is as it comes. */
+    private final Turns<Session> turns;
+    private boolean turning;
     private Channel listening;
     private boolean draining;
     private CompletableFuture<Void> drained;
 
-    /** Holds half of the descriptors at most; opens nothing yet. */
-    public ClientServer(Front node, EventLoop loop, SocketAddress listen, int sockets, ByteBudget budget) {
+    /**
+     * Holds half of the descriptors at most; opens nothing yet.
+     *
+     * @param byTurns whether the loop's time is dealt out to pools: a request is decoded when its pool's turn comes
+     */
+    public ClientServer(Front node, EventLoop loop, SocketAddress listen, int sockets, ByteBudget budget,
+                        boolean byTurns) {
         this.node = node;
         this.budget = budget;
         this.loop = loop;
         this.listen = listen;
+        turns = byTurns ? new Turns<>() : null;
         // Half of the descriptors; app servers have three eighths, the rest is the process's own.
         most = Math.max(8, sockets / 2);
         mostKept = Math.max(4, sockets / 6);
@@ -95,6 +107,32 @@
         return listening.localAddress();
     }
 
+    /** One request of each pool in turn, for one slice of time; then sockets come first again. */
+    private void turn() {
+        long begun = System.nanoTime(), at = begun;
+        for (Session next = turns.next(); next != null; next = turns.next()) {
+            next.turn();
+            long now = System.nanoTime();
+            turns.charge(next.line, now - at);
+            at = now;
+            if (now - begun > SLICE) {
+                break;
+            }
+        }
+        turning = !turns.isEmpty();
+        if (turning) {
+            // Scheduled, not executed: the loop's tasks would go on among themselves for up to a second.
+            loop.schedule(this::turn, 1, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    /** A pool has ended; its name's place among the turns goes. */
+    public void forget(String pool) {
+        if (turns != null) {
+            turns.forget(pool);
+        }
+    }
+
     /** From now on each connection ends with its next answer. */
     public void closeAfterAnswers() {
         draining = true;
@@ -166,7 +204,7 @@
 
     /** A client's connection: one request at a time; what comes behind it waits undecoded. */
     private final class Session extends SimpleChannelInboundHandler<HttpObject> {
-        private final RequestDecoder decoder = new RequestDecoder(this::arrived);
+        private final RequestDecoder decoder = new RequestDecoder(this::arrived, turns != null);
         private final Body body = new Body(ServerPool.MOST_BODY);
         private final Channel channel;
         private HttpRequest head;
@@ -176,6 +214,11 @@
         /** When the request that is coming, or else the silence, began. */
         private long since = System.nanoTime();
         private int held;
+        /** The pool that its last request went to, whose time its next one takes; whether it waits for that. */
+        private String line = "";
+        private boolean queued;
+        /** Bytes that a turn has left as the beginning of something: no reason for another turn. */
+        private int decoded, handled;
 
         Session(Channel channel) {
             this.channel = channel;
@@ -201,7 +244,8 @@
                 begin();
             }
             account();
-            if (current != null && decoder.held() > 0
+            queue();
+            if ((current != null || queued) && decoder.held() > 0
                 && (decoder.held() > MOST_AHEAD || !budget.allows(decoder.held()))) {
                 channel.config().setAutoRead(false);
             } else if (head != null && !closing && !budget.allows(held)) {
@@ -209,6 +253,36 @@
             }
         }
 
+        /** Where loops are shared, what has come waits for its pool's turn. */
+        private void queue() {
+            if (turns != null && !queued && current == null && !closing && decoder.held() > decoded) {
+                queued = true;
+                turns.add(line, this);
+                if (!turning) {
+                    turning = true;
+                    loop.schedule(ClientServer.this::turn, 1, TimeUnit.NANOSECONDS);
+                }
+            }
+        }
+
+        private void turn() {
+            queued = false;
+            if (current != null || closing || !channel.isActive() || !channel.isWritable()) {
+                return;
+            }
+            int before = handled;
+            try {
+                decoder.takeTurn();
+                decoded = handled == before ? decoder.held() : 0;
+            } catch (Exception e) {
+                exceptionCaught(null, e);
+                return;
+            }
+            if (current == null && !closing) {
+                channel.config().setAutoRead(true);
+            }
+        }
+
         private void begin() {
             begun = true;
             if (asked) {
@@ -272,6 +346,7 @@
         }
 
         private void handle() {
+            handled++;
             HttpRequest whole = head;
             ByteBuf content = body.take();
             head = null;
@@ -285,6 +360,7 @@
             }
             try {
                 Front.Way way = node.route(whole);
+                line = way.service().name();
                 Reply reply = new Reply(way.service());
                 OpenRequest taken = RequestReader.read(whole, content, way, node.now(), reply);
                 reply.of = taken;
@@ -342,6 +418,10 @@
                 return;
             }
             channel.config().setAutoRead(true);
+            if (turns != null) {
+                queue();
+                return;
+            }
             try {
                 decoder.resume();
             } catch (Exception e) {
--- a/src/main/java/rushpin/net/DiscoveryClient.java
+++ b/src/main/java/rushpin/net/DiscoveryClient.java
@@ -48,7 +48,7 @@
     private SocketAddress address;
     private Channel watching;
     private long revision, backoff = FIRST_BACKOFF_MS;
-    private boolean heard;
+    private volatile boolean heard;
 
     /** Connects nowhere yet. */
     public DiscoveryClient(Listener node, EventLoop loop, Upstream config) {
--- a/src/main/java/rushpin/net/RequestDecoder.java
+++ b/src/main/java/rushpin/net/RequestDecoder.java
@@ -17,9 +17,14 @@
     private ChannelHandlerContext context;
     private boolean paused, stopped;
 
-    /** {@code arrived} hears of each read, when all that may be decoded has been. */
-    RequestDecoder(Runnable arrived) {
+    /**
+     * {@code arrived} hears of each read, when all that may be decoded has been.
+     *
+     * @param byTurns whether nothing is decoded but in {@link #takeTurn}
+     */
+    RequestDecoder(Runnable arrived, boolean byTurns) {
         this.arrived = arrived;
+        paused = byTurns;
     }
 
     @Override
@@ -56,6 +61,16 @@
         }
     }
 
+    /** Decodes what has come, one request at most, and pauses again. */
+    void takeTurn() throws Exception {
+        paused = false;
+        try {
+            channelRead(context, Unpooled.EMPTY_BUFFER);
+        } finally {
+            paused = true;
+        }
+    }
+
     /** Nothing more is wanted: what still comes is dropped unread. */
     void stop() {
         stopped = true;
--- a/src/main/java/rushpin/net/Service.java
+++ b/src/main/java/rushpin/net/Service.java
@@ -6,6 +6,9 @@
 
 /** A pool as the listening side sees it. Names and settings never change; the rest is called on its loop. */
 public interface Service {
+    /** The pool's name; empty for the platform's one pool. */
+    String name();
+
     /** The one thread that owns the pool. */
     EventLoop loop();
 
--- a/src/main/java/rushpin/node/Budgets.java
+++ b/src/main/java/rushpin/node/Budgets.java
@@ -1,5 +1,6 @@
 package rushpin.node;
 
+import java.util.List;
 import rushpin.budget.Share;
 import rushpin.net.ByteBudget;
 import rushpin.net.OpenRequest;
@@ -10,7 +11,7 @@
     /** When a client that found its pool full should come again: about what one request of a full pool takes. */
     static final long COME_BACK = 500_000_000L;
 
-    final Share requests, connections, bytes, connects;
+    private final Share requests, connections, bytes, connects;
     /** Where the process has one pool, bodies count together with what clients' connections hold. */
     private final ByteBudget common;
     private Runnable onClose = () -> { };
@@ -53,6 +54,11 @@
         }
     }
 
+    /** In the order of the constructor. */
+    Share of(int kind) {
+        return List.of(requests, connections, bytes, connects).get(kind);
+    }
+
     void sweep() {
         requests.sweep();
         connections.sweep();
--- a/src/main/java/rushpin/node/EdgeNode.java
+++ b/src/main/java/rushpin/node/EdgeNode.java
@@ -5,18 +5,17 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.SocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import rushpin.config.Config;
-import rushpin.config.PoolPlan;
+import rushpin.config.Operator;
 import rushpin.net.ByteBudget;
 import rushpin.net.ClientServer;
 import rushpin.net.Front;
 import rushpin.net.Refusal;
 
-/** A real edge node with the platform's one pool: the listening side and the pool share one event loop. */
+/** A real edge node: the listening side on one event loop, and the services behind it. */
 public final class EdgeNode implements Front, AutoCloseable {
     private static final long MS = 1_000_000L;
     /** How long connections go on coming after SIGTERM (0.4 s at most), and some more. */
@@ -26,20 +25,24 @@
     private final EventLoop loop = group.next();
     private final Clock clock = new Clock();
     private final ClientServer clients;
-    private final Pool pool;
-    private final Way way;
+    private final Services services;
 
-    /** Opens nothing yet. */
+    /** A node with the platform's one pool; opens nothing yet. */
     public EdgeNode(Config config) {
-        ByteBudget bytes = new ByteBudget(config.memory());
-        pool = new Pool(PoolPlan.platform(config), loop, clock, Budgets.whole(config.sockets(), bytes));
-        way = new Way(pool, null);
-        clients = new ClientServer(this, loop, config.listen(), config.sockets(), bytes);
+        this(config, null);
+    }
+
+    /** A node with the pools of an operator's file, or with the platform's one where that is null. */
+    public EdgeNode(Config config, Operator operator) {
+        ByteBudget bytes = new ByteBudget(operator == null ? config.memory() : config.memory() / 2);
+        clients = new ClientServer(this, loop, config.listen(), config.sockets(), bytes, operator != null);
+        services = operator == null ? new PlatformService(config, loop, clock, bytes)
+            : new PooledServices(operator, loop, clock, clients::forget);
     }
 
     /** Begins to serve; returns when the listening socket is bound. */
     public void start() throws Exception {
-        loop.submit(pool::start).get();
+        services.start();
         clients.bind().get();
     }
 
@@ -53,12 +56,14 @@
         return clients.connections();
     }
 
-    /**
-     * Goes over to the addresses of a new configuration. Clients, attempts, the module and its list stay as they
-     * are, and all else in the file is for the next start.
-     */
+    /** Goes over to a new configuration of the platform, where there is no operator's file. */
     public void reload(Config changed) {
-        loop.execute(() -> pool.move(PoolPlan.platform(changed)));
+        reload(changed, null);
+    }
+
+    /** Goes over to new settings, read and checked whole. Clients and what they have asked stay. */
+    public void reload(Config changed, Operator operator) {
+        services.reload(changed, operator);
     }
 
     /** Answers all that was taken and completes when no client's connection is open any more. */
@@ -73,21 +78,18 @@
 
     @Override
     public void close() {
+        services.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
     @Override
     public Way route(HttpRequest head) throws Refusal {
-        String uri = head.uri();
-        if (!uri.equals("/api") && !uri.startsWith("/api?")) {
-            throw new Refusal(HttpResponseStatus.NOT_FOUND, "no such path");
-        }
-        return way;
+        return services.route(head);
     }
 
     @Override
     public boolean ready() {
-        return pool.ready();
+        return services.ready();
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/rushpin/node/PlatformService.java
@@ -0,0 +1,54 @@
+package rushpin.node;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import rushpin.config.Config;
+import rushpin.config.Operator;
+import rushpin.config.PoolPlan;
+import rushpin.net.ByteBudget;
+import rushpin.net.Front;
+import rushpin.net.Refusal;
+
+/** The platform's one pool, on the listening side's loop, with all that the process has. */
+final class PlatformService implements Services {
+    private final EventLoop loop;
+    private final Pool pool;
+    private final Front.Way way;
+
+    PlatformService(Config config, EventLoop loop, Clock clock, ByteBudget bytes) {
+        this.loop = loop;
+        pool = new Pool(PoolPlan.platform(config), loop, clock, Budgets.whole(config.sockets(), bytes), null);
+        way = new Front.Way(pool, null);
+    }
+
+    @Override
+    public void start() throws Exception {
+        loop.submit(() -> pool.start(pool.plan().known())).get();
+    }
+
+    @Override
+    public Front.Way route(HttpRequest head) throws Refusal {
+        String uri = head.uri();
+        if (!uri.equals("/api") && !uri.startsWith("/api?")) {
+            throw new Refusal(HttpResponseStatus.NOT_FOUND, "no such path");
+        }
+        return way;
+    }
+
+    @Override
+    public boolean ready() {
+        return pool.ready();
+    }
+
+    /** Clients, attempts, the module and its list stay as they are; all but addresses is for the next start. */
+    @Override
+    public void reload(Config changed, Operator operator) {
+        loop.execute(() -> pool.move(PoolPlan.platform(changed)));
+    }
+
+    @Override
+    public void close() {
+        // All of it lives on the listening side's loop.
+    }
+}
--- a/src/main/java/rushpin/node/Pool.java
+++ b/src/main/java/rushpin/node/Pool.java
@@ -39,6 +39,8 @@
     private final Clock clock;
     private final PoolPlan plan;
     private final Budgets budgets;
+    /** Where lists go first, if other pools have a word in them; their answer comes by {@link #apply}. */
+    private final DiscoveryClient.Listener claims;
     private final Map<String, OpenRequest> open = new HashMap<>();
     private final ServerPool servers;
     private final CounterClient counter;
@@ -47,21 +49,22 @@
     private Runnable ended;
     private boolean inside, closed;
 
-    /** Opens nothing yet. */
-    Pool(PoolPlan plan, EventLoop loop, Clock clock, Budgets budgets) {
+    /** Opens nothing yet; {@code claims} is null where the list is nobody else's concern. */
+    Pool(PoolPlan plan, EventLoop loop, Clock clock, Budgets budgets, DiscoveryClient.Listener claims) {
         this.plan = plan;
         this.loop = loop;
         this.clock = clock;
         this.budgets = budgets;
+        this.claims = claims;
         servers = new ServerPool(this, loop, plan.upstream(), budgets);
         counter = new CounterClient(this::counted, loop, plan.upstream());
         discovery = plan.upstream().discovery() == null ? null : new DiscoveryClient(this, loop, plan.upstream());
     }
 
     /** Begins with the list as last known; called on the loop. */
-    void start() {
+    void start(Roll known) {
         gateway = new Gateway(plan.settings(), plan.seed(), now(), this);
-        list(plan.known(), ListKind.CACHED);
+        apply(known, ListKind.CACHED);
         if (discovery != null) {
             discovery.start(plan.known().revision());
         }
@@ -99,7 +102,8 @@
         }
     }
 
-    String name() {
+    @Override
+    public String name() {
         return plan.name();
     }
 
@@ -107,6 +111,11 @@
         return plan;
     }
 
+    /** Connections that were lent are wanted back. */
+    void shrink() {
+        servers.shrink();
+    }
+
     /** Whether the list has been heard, or has been silent for so long that the known one must do. */
     boolean ready() {
         return discovery == null || discovery.heard();
@@ -161,6 +170,15 @@
 
     @Override
     public void list(Roll roll, ListKind kind) {
+        if (claims == null) {
+            apply(roll, kind);
+        } else {
+            claims.list(roll, kind);
+        }
+    }
+
+    /** The list, or changes to it, as this pool is to have them. */
+    void apply(Roll roll, ListKind kind) {
         if (!closed) {
             List<Server> told = servers.update(roll, kind != ListKind.DELTA);
             event(null, now -> gateway.list(now, kind, told));
--- /dev/null
+++ b/src/main/java/rushpin/node/PooledServices.java
@@ -0,0 +1,264 @@
+package rushpin.node;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import rushpin.budget.Lender;
+import rushpin.budget.Share;
+import rushpin.config.Config;
+import rushpin.config.Grants;
+import rushpin.config.Operator;
+import rushpin.config.PoolPlan;
+import rushpin.gateway.Ports.ListKind;
+import rushpin.membership.Claims;
+import rushpin.membership.Roll;
+import rushpin.net.Front;
+import rushpin.net.Refusal;
+import rushpin.route.Reading;
+import rushpin.route.RouteTable;
+
+/**
+ * The pools of an operator's file. Routes, lenders and claims belong to the listening side's loop; a pool belongs to its
+ * own loop or to that one. What crosses goes as a message, in the order in which it was sent.
+ */
+final class PooledServices implements Services {
+    private static final long SWEEP_S = 1;
+
+    /** A pool that runs; the key at the lenders and claims differs between two of one name that meet in a reload. */
+    private record Running(Pool pool, String key, EventLoopGroup own, Budgets budgets) {
+    }
+
+    private enum Kind { REQUESTS, CONNECTIONS, BYTES, CONNECTS }
+
+    private final EventLoop front;
+    private final Clock clock;
+    private final Consumer<String> ended;
+    private final Map<String, Running> running = new LinkedHashMap<>();
+    private final List<Running> retiring = new ArrayList<>();
+    private final Map<String, Running> byKey = new HashMap<>();
+    private final Lender[] lenders = new Lender[Kind.values().length];
+    private final Claims claims = new Claims();
+    private Operator operator;
+    private RouteTable table;
+    private int generation;
+
+    /** Opens nothing yet; {@code ended} hears on the listening side's loop of each name that no pool has any more. */
+    PooledServices(Operator operator, EventLoop front, Clock clock, Consumer<String> ended) {
+        this.operator = operator;
+        this.front = front;
+        this.clock = clock;
+        this.ended = ended;
+        for (Kind kind : Kind.values()) {
+            lenders[kind.ordinal()] = new Lender(of(operator.total(), kind));
+        }
+    }
+
+    private static long of(Grants grants, Kind kind) {
+        return switch (kind) {
+            case REQUESTS -> grants.requests();
+            case CONNECTIONS -> grants.connections();
+            case BYTES -> grants.bytes();
+            case CONNECTS -> grants.connects();
+        };
+    }
+
+    @Override
+    public void start() throws Exception {
+        front.submit(() -> apply(operator)).get();
+        // The hand-over of each pool's first list and first shares is behind these in line.
+        for (Running each : List.copyOf(running.values())) {
+            each.pool().loop().submit(() -> { }).get();
+        }
+    }
+
+    /** The whole of a checked file takes the place of the one before; on the listening side's loop. */
+    private void apply(Operator next) {
+        operator = next;
+        for (Kind kind : Kind.values()) {
+            lenders[kind.ordinal()].resize(of(next.total(), kind));
+        }
+        Map<String, Running> before = new LinkedHashMap<>(running);
+        running.clear();
+        List<PoolPlan> fresh = new ArrayList<>();
+        for (PoolPlan plan : next.pools()) {
+            Running known = before.get(plan.name());
+            if (known != null && known.pool().plan().differsOnlyInAddresses(plan)) {
+                before.remove(plan.name());
+                running.put(plan.name(), known);
+                known.pool().loop().execute(() -> known.pool().move(plan));
+                reserve(known, plan);
+            } else {
+                fresh.add(plan);
+            }
+        }
+        before.values().forEach(this::retire);
+        fresh.forEach(this::begin);
+        table = new RouteTable(next.routes());
+    }
+
+    private void begin(PoolPlan plan) {
+        EventLoopGroup own = plan.ownLoop() ? new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()) : null;
+        EventLoop loop = own == null ? front : own.next();
+        String key = plan.name() + "#" + generation++;
+        Share[] shares = new Share[lenders.length];
+        for (Kind kind : Kind.values()) {
+            shares[kind.ordinal()] = new Share(of(plan.guaranteed(), kind), desk(key, kind));
+        }
+        Budgets budgets = new Budgets(shares[0], shares[1], shares[2], shares[3], null);
+        Pool pool = new Pool(plan, loop, clock, budgets,
+            (roll, kind) -> front.execute(() -> admit(key, roll, kind)));
+        Running begun = new Running(pool, key, own, budgets);
+        running.put(plan.name(), begun);
+        byKey.put(key, begun);
+        reserve(begun, plan);
+        var sweep = loop.scheduleAtFixedRate(budgets::sweep, SWEEP_S, SWEEP_S, TimeUnit.SECONDS);
+        budgets.onClose(() -> sweep.cancel(false));
+        // The known list goes by the claims like every other; the pool begins with what they leave of it.
+        Claims.Outcome first = claims.admit(key, plan.known(), ListKind.CACHED);
+        first.conflicts().forEach(System.out::println);
+        loop.execute(() -> pool.start(first.told().get(0).roll()));
+        tell(first.told().subList(1, first.told().size()));
+    }
+
+    /** The way from a pool's loop to a lender. */
+    private Share.Desk desk(String key, Kind kind) {
+        Lender lender = lenders[kind.ordinal()];
+        return new Share.Desk() {
+            @Override
+            public void ask(long units) {
+                front.execute(() -> lender.ask(key, units));
+            }
+
+            @Override
+            public void back(long units) {
+                front.execute(() -> lender.back(key, units));
+            }
+        };
+    }
+
+    private void reserve(Running of, PoolPlan plan) {
+        for (Kind kind : Kind.values()) {
+            long units = of(plan.guaranteed(), kind);
+            Share share = of.budgets().of(kind.ordinal());
+            of.pool().loop().execute(() -> share.guarantee(units));
+            lenders[kind.ordinal()].reserve(of.key(), units, new Lender.Port() {
+                @Override
+                public void hand(long handed) {
+                    of.pool().loop().execute(() -> share.handed(handed));
+                }
+
+                @Override
+                public void recall(long wanted) {
+                    of.pool().loop().execute(() -> {
+                        if (share.recalled(wanted) > 0 && kind == Kind.CONNECTIONS) {
+                            of.pool().shrink();
+                        }
+                    });
+                }
+            });
+        }
+    }
+
+    /** A pool that is in the file no more, or differently: what it took ends there, and nothing new comes. */
+    private void retire(Running old) {
+        retiring.add(old);
+        old.pool().loop().execute(() -> old.pool().retire(() -> front.execute(() -> gone(old))));
+    }
+
+    private void gone(Running old) {
+        retiring.remove(old);
+        byKey.remove(old.key());
+        for (Lender lender : lenders) {
+            lender.leave(old.key());
+        }
+        tell(claims.leave(old.key()));
+        if (!running.containsKey(old.pool().name())) {
+            ended.accept(old.pool().name());
+        }
+        if (old.own() != null) {
+            old.own().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+        System.out.println("pool " + old.pool().name() + " has ended");
+    }
+
+    private void admit(String key, Roll roll, ListKind kind) {
+        if (byKey.containsKey(key)) {
+            Claims.Outcome outcome = claims.admit(key, roll, kind);
+            outcome.conflicts().forEach(System.out::println);
+            tell(outcome.told());
+        }
+    }
+
+    private void tell(List<Claims.Told> told) {
+        for (Claims.Told one : told) {
+            Running to = byKey.get(one.pool());
+            to.pool().loop().execute(() -> to.pool().apply(one.roll(), one.kind()));
+        }
+    }
+
+    @Override
+    public Front.Way route(HttpRequest head) throws Refusal {
+        List<String> hosts = head.headers().getAll(HttpHeaderNames.HOST);
+        if (hosts.size() > 1) {
+            throw new Refusal(HttpResponseStatus.BAD_REQUEST, "Host stands there twice");
+        }
+        Reading reading;
+        try {
+            reading = Reading.of(head.uri(), hosts.isEmpty() ? null : hosts.get(0),
+                !head.protocolVersion().equals(HttpVersion.HTTP_1_0));
+        } catch (Reading.Ambiguous e) {
+            throw new Refusal(HttpResponseStatus.BAD_REQUEST, e.getMessage());
+        }
+        for (String name : table.headers()) {
+            if (head.headers().getAll(name).size() > 1) {
+                throw new Refusal(HttpResponseStatus.BAD_REQUEST, name + " stands there twice");
+            }
+        }
+        String pool = table.find(reading, head.method().name(), head.headers().get("X-Qos"), head.headers()::get);
+        if (pool == null) {
+            throw new Refusal(HttpResponseStatus.NOT_FOUND, "no route leads from here");
+        }
+        // What goes on is the path that was routed: an absolute target's host goes as Host.
+        head.setUri(reading.target());
+        return new Front.Way(running.get(pool).pool(), reading.authority());
+    }
+
+    @Override
+    public boolean ready() {
+        return running.values().stream().allMatch(each -> each.pool().ready());
+    }
+
+    @Override
+    public void reload(Config changed, Operator next) {
+        if (next == null) {
+            throw new IllegalArgumentException("the process was started with an operator's file");
+        }
+        front.execute(() -> apply(next));
+    }
+
+    @Override
+    public void close() {
+        for (Running each : running.values()) {
+            if (each.own() != null) {
+                each.own().shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+            }
+        }
+        for (Running each : List.copyOf(retiring)) {
+            if (each.own() != null) {
+                each.own().shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rushpin/rig/CostScenario.java
@@ -0,0 +1,113 @@
+package rushpin.rig;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What a request costs the node in CPU, against a bare pass-through on the same library with the same JVM options, and
+ * against another build where one is named: all run side by side and are loaded in turn, so each pair of figures is of
+ * the same minute of the same machine.
+ */
+final class CostScenario implements Scenario {
+    private static final double RATE = 1_000;
+
+    private record Candidate(String name, NodeProcess process, Load load, List<Double> micros) {
+    }
+
+    @Override
+    public String name() {
+        return "cost";
+    }
+
+    @Override
+    public String line() {
+        return "CPU a request through the node, against a bare pass-through and, with --other JAR, another build";
+    }
+
+    @Override
+    public Report play(Options options) throws Exception {
+        Report report = new Report(name(), options.seed());
+        RigConfig.Plan plan = new RigConfig.Plan("bulk", 100_000, 100_000, 0, 0, 0);
+        AppServer.Work work = new AppServer.Work(64, 64, 500, 1_500, RigConfig.KEY_WINDOW_MS * 1_000_000);
+        List<Candidate> all = new ArrayList<>();
+        try (Yard yard = new Yard()) {
+            Discovery discovery = yard.pool("one", 4, work, options.seed());
+            Path config = yard.write("node.json", RigConfig.json(1024, 2, discovery, yard.counter, List.of(plan)));
+            Path pools = yard.write("pools.toml", "[[pool]]\nname = \"one\"\nsettings = \"platform\"\n\n"
+                + "[[route]]\npool = \"one\"\n");
+            try {
+                add(all, yard, "pass-through", NodeProcess.run(PassThrough.class.getName(),
+                    List.of(yard.servers("one").get(0).address()), yard.folder), options);
+                add(all, yard, "node", NodeProcess.serve(yard.folder, config, null), options);
+                add(all, yard, "node, one pool by an operator's file",
+                    NodeProcess.serve(yard.folder, config, pools), options);
+                if (options.other() != null) {
+                    add(all, yard, "other build", NodeProcess.serveOf(options.other(), yard.folder, config), options);
+                }
+                measure(options, report, all);
+            } finally {
+                all.forEach(candidate -> candidate.process.close());
+            }
+        }
+        return report;
+    }
+
+    private static void add(List<Candidate> all, Yard yard, String name, NodeProcess process, Options options) {
+        Load.Group group = new Load.Group("one", "app.svc", "/api?slot=1", 0.35, 200, "bulk", 2_000, 200, false);
+        all.add(new Candidate(name, process, new Load(yard.loop(), group, process.address(), yard.records,
+            options.seed()), new ArrayList<>()));
+    }
+
+    private static void measure(Options options, Report report, List<Candidate> all) throws Exception {
+        int rounds = options.isShort() ? 2 : 10;
+        long stretch = options.isShort() ? 1_500 : 4_000;
+        for (int i = -1; i < rounds; i++) {
+            // The first round is for the compilers.
+            for (Candidate one : all) {
+                one.load.turn();
+                long cpu = one.process.cpu();
+                one.load.rate(RATE);
+                Thread.sleep(stretch);
+                one.load.rate(0);
+                one.load.settle();
+                Load.Stretch seen = one.load.turn();
+                if (i >= 0) {
+                    one.micros.add((one.process.cpu() - cpu) / 1e3 / Math.max(1, seen.ok));
+                }
+                report.claim(one.name + " serves all in round " + i + " (" + seen.ok + " of " + seen.sent + ")",
+                    seen.ok > 0.98 * seen.sent);
+            }
+        }
+        report.row("program", "CPU us a request, median", "least", "most", "to the pass-through", "to the node",
+            "ready after ms", "resident MiB");
+        List<Double> bare = all.get(0).micros, node = all.get(1).micros;
+        for (Candidate one : all) {
+            report.row(one.name, number(median(one.micros)), number(one.micros.stream().min(Double::compare).orElse(0.0)),
+                number(one.micros.stream().max(Double::compare).orElse(0.0)), number(ratio(one.micros, bare)),
+                number(ratio(one.micros, node)), TimeUnit.NANOSECONDS.toMillis(one.process.readyAfter()),
+                number(one.process.resident() / 1024.0));
+        }
+    }
+
+    /** The median of the ratios round by round. */
+    private static double ratio(List<Double> of, List<Double> to) {
+        List<Double> ratios = new ArrayList<>();
+        for (int i = 0; i < of.size(); i++) {
+            ratios.add(of.get(i) / to.get(i));
+        }
+        return median(ratios);
+    }
+
+    private static double median(List<Double> of) {
+        double[] sorted = of.stream().mapToDouble(x -> x).sorted().toArray();
+        int n = sorted.length;
+        return n == 0 ? 0 : (sorted[(n - 1) / 2] + sorted[n / 2]) / 2;
+    }
+
+    private static String number(double x) {
+        return String.format(Locale.ROOT, "%.3g", x);
+    }
+}
--- /dev/null
+++ b/src/main/java/rushpin/rig/Discovery.java
@@ -0,0 +1,110 @@
+package rushpin.rig;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** Discovery of one pool: a list, watches of it, and what was told when. All on its loop. */
+final class Discovery extends StandIn {
+    private static final long BEAT_MS = 2_000;
+
+    private record Entry(String address, String phase, long since) {
+    }
+
+    private final String pool;
+    private final Records records;
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final Map<String, Long> toldAt = new HashMap<>();
+    private final Set<Channel> watches = new HashSet<>();
+    private long revision = 1;
+
+    Discovery(EventLoop loop, String pool, Records records) {
+        super(loop);
+        this.pool = pool;
+        this.records = records;
+        loop.scheduleAtFixedRate(() -> watches.forEach(watch -> line(watch, "")), BEAT_MS, BEAT_MS,
+            TimeUnit.MILLISECONDS);
+    }
+
+    /** Sets a server's phase ({@code Ready}, {@code Terminating}, {@code Gone}) and tells the watches. */
+    void set(String id, String address, String phase, long sinceMs) {
+        loop.execute(() -> {
+            Entry entry = new Entry(address, phase, sinceMs);
+            entries.put(id, entry);
+            revision++;
+            watches.forEach(watch -> line(watch, message(false, "[" + json(id, entry) + "]")));
+            long now = System.nanoTime();
+            if (!phase.equals("Ready")) {
+                // Gone behind a drain goes on from the drain.
+                toldAt.putIfAbsent(id, now);
+            } else if (toldAt.containsKey(id)) {
+                records.add(new Records.Told(pool, id, toldAt.remove(id), now));
+            }
+        });
+    }
+
+    /** Writes down the drains that last until the end of the run. */
+    void end() throws Exception {
+        loop.submit(() -> toldAt.forEach((id, at) -> records.add(new Records.Told(pool, id, at, Long.MAX_VALUE)))).get();
+    }
+
+    private static String json(String id, Entry e) {
+        return "{\"id\":\"" + id + "\",\"host_port\":\"" + e.address + "\",\"locality\":\"a\",\"flavor\":\"m\","
+            + "\"cell\":1,\"phase\":\"" + e.phase + "\",\"size\":1.0,\"up_since_ms\":" + e.since + "}";
+    }
+
+    private String message(boolean complete, String members) {
+        return "{\"revision\":" + revision + ",\"complete\":" + complete + ",\"members\":" + members + "}";
+    }
+
+    private void line(Channel watch, String text) {
+        watch.writeAndFlush(new DefaultHttpContent(text(text + "\n")));
+    }
+
+    @Override
+    ChannelHandler handler() {
+        return new SimpleChannelInboundHandler<HttpObject>() {
+            @Override
+            protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
+                if (!(part instanceof LastHttpContent)) {
+                    return;
+                }
+                DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+                head.headers().set("Transfer-Encoding", "chunked");
+                context.write(head);
+                StringBuilder all = new StringBuilder();
+                entries.forEach((id, e) -> {
+                    if (!e.phase.equals("Gone")) {
+                        all.append(all.isEmpty() ? "" : ",").append(json(id, e));
+                    }
+                });
+                line(context.channel(), message(true, "[" + all + "]"));
+                watches.add(context.channel());
+            }
+
+            @Override
+            public void channelInactive(ChannelHandlerContext context) {
+                watches.remove(context.channel());
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+                context.close();
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/rushpin/rig/NodeProcess.java
@@ -0,0 +1,164 @@
+package rushpin.rig;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** A program of this repository as a real process: an edge node, or what it is compared with. */
+final class NodeProcess implements AutoCloseable {
+    /** The options of `run` in deploy/balancer.toml that decide what a request costs. */
+    private static final List<String> OPTIONS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+        "-XX:C1MaxInlineSize=8", "-XX:C1MaxInlineLevel=2", "-Dio.netty.jfr.enabled=false", "-Xms48m", "-Xmx48m",
+        "-Xss512k", "-XX:MaxDirectMemorySize=24m", "-XX:ReservedCodeCacheSize=24m", "-XX:MaxMetaspaceSize=40m",
+        "-XX:-UsePerfData", "-XX:+ExitOnOutOfMemoryError");
+    private static final int READY_S = 60, KEPT_LINES = 200;
+
+    private final Process process;
+    private final Deque<String> said = new ArrayDeque<>();
+    private final CompletableFuture<InetSocketAddress> serving = new CompletableFuture<>();
+    private final long startedAt = System.nanoTime();
+    private long readyAfter;
+
+    private NodeProcess(String classPath, List<String> command, Path folder, Path config) throws IOException {
+        List<String> all = new ArrayList<>();
+        all.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        all.addAll(OPTIONS);
+        all.add("-cp");
+        all.add(classPath);
+        all.addAll(command);
+        ProcessBuilder builder = new ProcessBuilder(all).redirectErrorStream(true);
+        builder.environment().put("TMPDIR", folder.toString());
+        builder.environment().remove("RUSHPIN_OPERATOR");
+        if (config != null) {
+            builder.environment().put("GW_CONFIG", config.toString());
+        }
+        process = builder.start();
+        Thread reader = new Thread(this::read, "said by " + process.pid());
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    /** Starts an edge node; {@code operator} may be null. Returns when it serves. */
+    static NodeProcess serve(Path folder, Path config, Path operator) throws Exception {
+        List<String> command = new ArrayList<>(List.of("rushpin.cli.Main", "serve"));
+        if (operator != null) {
+            command.addAll(List.of("--operator", operator.toString()));
+        }
+        return started(new NodeProcess(System.getProperty("java.class.path"), command, folder, config));
+    }
+
+    /** Starts the edge node of another jar. */
+    static NodeProcess serveOf(Path jar, Path folder, Path config) throws Exception {
+        NodeProcess made = new NodeProcess(jar.toString(), List.of("-jar", jar.toString(), "serve"), folder, config);
+        return started(made);
+    }
+
+    /** Starts a main class of this program that says {@code serving on HOST:PORT}. */
+    static NodeProcess run(String main, List<String> arguments, Path folder) throws Exception {
+        List<String> command = new ArrayList<>(List.of(main));
+        command.addAll(arguments);
+        return started(new NodeProcess(System.getProperty("java.class.path"), command, folder, null));
+    }
+
+    private static NodeProcess started(NodeProcess node) throws Exception {
+        try {
+            node.serving.get(READY_S, TimeUnit.SECONDS);
+            return node;
+        } catch (Exception e) {
+            node.close();
+            throw new IOException("the process did not serve: " + String.join(" | ", node.said()), e);
+        }
+    }
+
+    private void read() {
+        try (BufferedReader lines = new BufferedReader(
+            new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                synchronized (said) {
+                    said.add(line);
+                    if (said.size() > KEPT_LINES) {
+                        said.poll();
+                    }
+                }
+                if (line.startsWith("serving on ")) {
+                    readyAfter = System.nanoTime() - startedAt;
+                    int colon = line.lastIndexOf(':');
+                    serving.complete(new InetSocketAddress("127.0.0.1", Integer.parseInt(line.substring(colon + 1))));
+                }
+            }
+        } catch (IOException e) {
+            // The process is over.
+        }
+        serving.completeExceptionally(new IOException("it ended"));
+    }
+
+    InetSocketAddress address() {
+        return serving.join();
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    /** Nanoseconds from the start to the line that it serves. */
+    long readyAfter() {
+        return readyAfter;
+    }
+
+    /** Its last lines. */
+    List<String> said() {
+        synchronized (said) {
+            return List.copyOf(said);
+        }
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** CPU it has used, in nanoseconds; the system counts in steps of 10 ms. */
+    long cpu() {
+        return process.toHandle().info().totalCpuDuration().map(Duration::toNanos).orElse(0L);
+    }
+
+    /** Resident memory in KiB; 0 where the system does not tell. */
+    long resident() {
+        try {
+            for (String line : Files.readAllLines(Path.of("/proc", Long.toString(pid()), "status"))) {
+                if (line.startsWith("VmRSS:")) {
+                    return Long.parseLong(line.replaceAll("[^0-9]", ""));
+                }
+            }
+        } catch (IOException e) {
+            // Not told here.
+        }
+        return 0;
+    }
+
+    /** Sends a signal by name. */
+    void signal(String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(pid())).start().waitFor();
+    }
+
+    /** Ends it the planned way; its exit status. */
+    int stop() throws InterruptedException {
+        process.destroy();
+        return process.waitFor(30, TimeUnit.SECONDS) ? process.exitValue() : -1;
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+}
