--- a/src/main/java/rushpin/budget/Share.java
+++ b/src/main/java/rushpin/budget/Share.java
@@ -10,7 +10,7 @@
 public final class Share {
     /** The way to the lender; may be a message to another thread, answered later. */
     public interface Desk {
-        /** Wants so many more units; the lender hands some over now or when others come back. */
+        /** Wants so many more units, 0 for none any more; the lender hands some over now or when others come back. */
         void ask(long units);
 
         /** Gives units back. */
@@ -73,7 +73,8 @@
 
     /** The lender wants lent units back, as soon as they are free; returns how many are still in use. */
     public long recalled(long units) {
-        owed += units;
+        // A part may be on its way back already, of the pool's own accord: the guaranteed part is never owed.
+        owed = Math.max(owed, Math.min(owed + units, held - guaranteed));
         repay();
         return owed;
     }
@@ -94,8 +95,13 @@
 
     /** Now and then: what was lent and is not needed goes back. */
     public void sweep() {
-        long spare = Math.min(held - guaranteed, held - used - 2 * step());
-        if (owed == 0 && !asked && spare > 0) {
+        long spare = Math.min(held - guaranteed, held - used - step());
+        if (owed == 0 && spare > 0) {
+            if (asked) {
+                // It wanted more once; two that wait for each other's spare units would wait for ever.
+                asked = false;
+                desk.ask(0);
+            }
             held -= spare;
             desk.back(spare);
         }
--- a/src/main/java/rushpin/config/OperatorFile.java
+++ b/src/main/java/rushpin/config/OperatorFile.java
@@ -147,6 +147,11 @@
             pool.fault("counter", "the settings have a counter and no address is given", "host:port");
             return null;
         }
+        if (watched == null && config.known().members().stream().noneMatch(Member::isReady)) {
+            pool.fault("discovery", "there is none and the settings list no server that is ready",
+                "host:port, or a list under \"known\" in the settings");
+            return null;
+        }
         Upstream upstream = new Upstream(watched, config.settings().counter().present() ? counts : null,
             config.settings().counter().timeout(), config.connectTimeout(), config.keepAlive(),
             config.settings().counter().largest(), config.names(), (space == null ? name : space) + ".",
--- a/src/main/java/rushpin/gateway/Gateway.java
+++ b/src/main/java/rushpin/gateway/Gateway.java
@@ -44,6 +44,8 @@
     /** A connection that broke tells nothing of load: as slow it would close the loop on all other work. */
     private static final Set<Outcome> NO_SIGN_OF_LOAD =
         EnumSet.of(Outcome.RESET, Outcome.CANCELLED, Outcome.NOT_SENT);
+    /** For how long an empty list may be a slip, and what is queued waits for the next one. */
+    private static final long EMPTY_SPAN = SECOND / 4;
     /** The values of a load report that tell how busy a server is; their life in seconds; how many stay. */
     private static final Set<String> LOADS = Set.of("waiting", "active", "cpu");
     private static final int REPORT_S = 1, RECENT = 6;
@@ -51,7 +53,7 @@
     private final Actions out;
     private final SplittableRandom random;
     private final long born;
-    private long now, nextControl, answeredAt, tokensAt, slowedAt, sentWorkAt, restUntil;
+    private long now, nextControl, answeredAt, tokensAt, slowedAt, sentWorkAt, restUntil, emptyAt;
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<Long, Customer> customers = new LinkedHashMap<>();
     private final Map<String, Backend> servers = new LinkedHashMap<>();
@@ -120,6 +122,9 @@
         // Ids are ever new: what is gone is forgotten, but for the attempts that it still has.
         servers.values().removeIf(Backend::blank);
         listed = servers.values().stream().filter(b -> b.ready).toList();
+        // An empty list as saved before this start says nothing yet.
+        boolean told = kind == ListKind.FULL || kind == ListKind.DELTA || !entries.isEmpty() || emptyAt > 0;
+        emptyAt = !told || !listed.isEmpty() ? 0 : emptyAt > 0 ? emptyAt : now;
         drawing = listed.toArray(Backend[]::new);
         control.boundLevel();
         dispatch();
@@ -595,6 +600,12 @@
 
     /** Releases requests by start tag while fewer than the concurrency level are out. */
     private void dispatch() {
+        if (emptyAt > 0 && now - emptyAt >= EMPTY_SPAN) {
+            // No slip of the list: nobody knows when a server comes; to wait would only take clients' time.
+            for (Lane lane : lanes) {
+                while (!lane.queue.isEmpty()) { giveUp(lane.queue.poll()); }
+            }
+        }
         while (inFlight < control.level && now >= restUntil) {
             Lane next = null;
             for (Lane lane : lanes) {
--- a/src/main/java/rushpin/node/PooledServices.java
+++ b/src/main/java/rushpin/node/PooledServices.java
@@ -174,6 +174,8 @@
     /** A pool that is in the file no more, or differently: what it took ends there, and nothing new comes. */
     private void retire(Running old) {
         retiring.add(old);
+        // It sends no more than repeats of what it has: its servers are free for who comes after it.
+        tell(claims.leave(old.key()));
         old.pool().loop().execute(() -> old.pool().retire(() -> front.execute(() -> gone(old))));
     }
 
@@ -183,7 +185,6 @@
         for (Lender lender : lenders) {
             lender.leave(old.key());
         }
-        tell(claims.leave(old.key()));
         if (!running.containsKey(old.pool().name())) {
             ended.accept(old.pool().name());
         }
@@ -194,7 +195,13 @@
     }
 
     private void admit(String key, Roll roll, ListKind kind) {
-        if (byKey.containsKey(key)) {
+        Running of = byKey.get(key);
+        if (of == null) {
+            return;
+        }
+        if (retiring.contains(of)) {
+            of.pool().loop().execute(() -> of.pool().apply(roll, kind));
+        } else {
             Claims.Outcome outcome = claims.admit(key, roll, kind);
             outcome.conflicts().forEach(System.out::println);
             tell(outcome.told());
--- /dev/null
+++ b/src/test/java/rushpin/ArchitectureTest.java
@@ -0,0 +1,70 @@
+package rushpin;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Who may import whom, and that deciders do no I/O. */
+class ArchitectureTest {
+    private static final JavaClasses ALL = new ClassFileImporter()
+        .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("rushpin");
+    /** Each room and what of ours it may import; a room may always import itself. */
+    private static final Map<String, List<String>> ROOMS = new LinkedHashMap<>();
+
+    static {
+        ROOMS.put("gateway", List.of());
+        ROOMS.put("drill", List.of("gateway"));
+        ROOMS.put("route", List.of());
+        ROOMS.put("budget", List.of());
+        ROOMS.put("membership", List.of("gateway"));
+        ROOMS.put("net", List.of("gateway", "membership", "budget"));
+        ROOMS.put("config", List.of("gateway", "membership", "route", "net"));
+        ROOMS.put("node", List.of("gateway", "membership", "route", "budget", "net", "config"));
+        ROOMS.put("rig", List.of());
+        ROOMS.put("cli", List.of("drill", "config", "node", "rig"));
+    }
+
+    @Test
+    void eachRoomImportsOnlyWhatItMay() {
+        assertFalse(ALL.isEmpty());
+        for (Map.Entry<String, List<String>> room : ROOMS.entrySet()) {
+            String[] others = ROOMS.keySet().stream()
+                .filter(other -> !other.equals(room.getKey()) && !room.getValue().contains(other))
+                .map(other -> "rushpin." + other + "..").toArray(String[]::new);
+            noClasses().that().resideInAPackage("rushpin." + room.getKey() + "..")
+                .should().dependOnClassesThat().resideInAnyPackage(others).check(ALL);
+        }
+    }
+
+    @Test
+    void everyClassStandsInARoom() {
+        noClasses().should().resideOutsideOfPackages(ROOMS.keySet().stream().map(room -> "rushpin." + room + "..")
+            .toArray(String[]::new)).check(ALL);
+    }
+
+    @Test
+    void roomsFormNoCycles() {
+        slices().matching("rushpin.(*)..").should().beFreeOfCycles().check(ALL);
+    }
+
+    /** Time, events and chance come as arguments. Addresses are values: an InetSocketAddress opens nothing. */
+    @Test
+    void decidersDoNoIo() {
+        noClasses().that().resideInAnyPackage("rushpin.gateway..", "rushpin.route..", "rushpin.budget..",
+            "rushpin.membership..")
+            .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.nio..", "java.util.concurrent..")
+            .orShould().dependOnClassesThat().haveNameMatching("java\\.io\\.(File|.*Stream|.*Reader|.*Writer).*")
+            .orShould().dependOnClassesThat().haveNameMatching("java\\.net\\.(.*Socket|URL.*|Http.*|DatagramPacket)")
+            .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+            .orShould().dependOnClassesThat().haveFullyQualifiedName("java.lang.Thread")
+            .orShould().dependOnClassesThat().haveFullyQualifiedName("java.util.Random").check(ALL);
+    }
+}
--- a/src/test/java/rushpin/gateway/RulesTest.java
+++ b/src/test/java/rushpin/gateway/RulesTest.java
@@ -45,6 +45,35 @@
         assertEquals(List.of(hurried), full.refused);
     }
 
+    @Test
+    void withNoServerListedAllAreAnsweredAtOnceAfterAMoment() {
+        host.servers(1);
+        String out = host.request(SAFE, 1);
+        for (int i = 0; i < 40; i++) {
+            host.request(UNSAFE, 1);
+        }
+        host.server("a", 0, Readiness.DRAINING, 0);
+        host.pass(300 * MS);
+        assertEquals(41 - host.sent.size(), host.refused.size(), "what was queued");
+        String late = host.request(SAFE, 1);
+        assertTrue(host.refused.contains(late), "nothing waits any more");
+        assertFalse(host.refused.contains(out), "what is out ends by its attempt");
+        host.server("b", 0, Readiness.READY, 0);
+        host.end(out, Outcome.OK);
+        host.request(SAFE, 1);
+        assertEquals("b", host.sent.get(host.sent.size() - 1).server());
+    }
+
+    @Test
+    void anEmptyListFromBeforeTheStartSaysNothing() {
+        host.gateway.list(host.now, ListKind.CACHED, List.of());
+        String id = host.request(SAFE, 1);
+        host.pass(500 * MS);
+        assertEquals(List.of(), host.refused);
+        host.servers(1);
+        assertEquals(1, host.attempts(id).size());
+    }
+
     @Test
     void arrivingWithNoTimeLeftIsAnsweredAtOnce() {
         host.servers(1);
--- /dev/null
+++ b/src/test/java/rushpin/node/PoolsTest.java
@@ -0,0 +1,485 @@
+package rushpin.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import rushpin.config.Config;
+import rushpin.config.OperatorFile;
+
+/** Several services in one node, each on an event loop of its own; {@link PoolsOnOneLoopTest} plays all of it on one. */
+@Timeout(120)
+class PoolsTest extends Stage {
+    @TempDir
+    Path folder;
+    private final StringBuilder file = new StringBuilder();
+
+    String loop() {
+        return "own";
+    }
+
+    /** Adds a pool with a discovery that says nothing new, and a route by its host. */
+    private Peer pool(String name, String keys, Peer... servers) throws Exception {
+        String[] members = new String[servers.length];
+        for (int i = 0; i < members.length; i++) {
+            members[i] = member("s-" + i, servers[i].address(), "Ready", 0);
+        }
+        return poolOf(name, keys, members);
+    }
+
+    private Peer poolOf(String name, String keys, String... members) throws Exception {
+        Peer own = peer(m -> m.answer(UNCHANGED));
+        settings(name, own, members);
+        file.append("[[pool]]\nname = \"").append(name).append("\"\nsettings = \"").append(name)
+            .append(".json\"\nloop = \"").append(loop()).append("\"\n").append(keys).append('\n');
+        route(name, "host = \"" + name + ".example\"");
+        return own;
+    }
+
+    private void settings(String name, Peer own, String... members) throws IOException {
+        Files.writeString(folder.resolve(name + ".json"), config(members).replace(discovery.address(), own.address()));
+    }
+
+    private void route(String pool, String keys) {
+        file.append("[[route]]\npool = \"").append(pool).append("\"\n").append(keys).append("\n\n");
+    }
+
+    private EdgeNode startPools() throws Exception {
+        Config config = Config.parse(config());
+        EdgeNode node = new EdgeNode(config, OperatorFile.parse(file.toString(), folder, config));
+        toClose.add(node);
+        node.start();
+        return node;
+    }
+
+    private void reload(EdgeNode node) throws Exception {
+        Config config = Config.parse(config());
+        node.reload(config, OperatorFile.parse(file.toString(), folder, config));
+    }
+
+    private static void order(Socket to, String pool, String id) throws IOException {
+        Map<String, String> headers = headers(id, "order", "20000");
+        headers.put("Host", pool + ".example");
+        write(to, "POST /api?slot=4", headers, "book");
+    }
+
+    private Peer.Message ask(EdgeNode node, String pool, String id) throws IOException {
+        Socket client = client(node);
+        order(client, pool, id);
+        return Peer.read(client);
+    }
+
+    private Peer named(String name) throws IOException {
+        return peer(m -> m.answer(Peer.ok("", name)));
+    }
+
+    @Test
+    void aRequestGoesByHostPathMethodClassAndHeaderAndAsItCame() throws Exception {
+        Peer a = named("a"), b = named("b"), c = named("c"), d = named("d");
+        pool("a", "", a);
+        pool("b", "", b);
+        pool("c", "", c);
+        pool("d", "", d);
+        route("b", "host = \"*.example\"\nprefix = \"/b\"");
+        route("c", "host = \"*.example\"\nprefix = \"/b\"\nmethod = \"GET\"\nclass = \"lookup\"");
+        route("d", "host = \"*.example\"\nprefix = \"/b\"\nmethod = \"GET\"\nclass = \"lookup\"\n[route.headers]\n"
+            + "X-Yard = \"east\"");
+        EdgeNode node = startPools();
+        Socket client = client(node);
+        Map<String, String> get = headers("t-1", "lookup", "20000");
+        Map<String, String> post = headers("t-2", "order", "20000");
+        post.put("Host", "X.Example.:7");
+        write(client, "POST /b/x%20y?q=%2e%2e//;z", post, "book");
+        assertEquals("b", Peer.read(client).body());
+        assertEquals("POST /b/x%20y?q=%2e%2e//;z HTTP/1.1", b.seen.peek().first());
+        assertEquals("X.Example.:7", b.next().headers().get("host"));
+        get.put("Host", "x.example");
+        write(client, "GET /b", get, "");
+        assertEquals("c", Peer.read(client).body());
+        get.put("X-Yard", "east");
+        write(client, "GET /b/", get, "");
+        assertEquals("d", Peer.read(client).body());
+        get.put("Host", "a.example");
+        write(client, "GET http://A.example/b/c?x", get, "");
+        assertEquals("a", Peer.read(client).body());
+        Peer.Message sent = a.next();
+        assertEquals("GET /b/c?x HTTP/1.1", sent.first(), "an absolute target goes on as its path");
+        assertEquals("A.example", sent.headers().get("host"));
+    }
+
+    @Test
+    void whatHasTwoReadingsReachesNoServer() throws Exception {
+        Peer a = named("a"), b = named("b");
+        pool("a", "", a);
+        pool("b", "", b);
+        route("b", "host = \"a.example\"\nprefix = \"/b\"");
+        EdgeNode node = startPools();
+        List<String> targets = List.of("/b/../a", "/a/%2e%2e/b", "//b", "/a//b", "/b%2f..", "/b;x", "/%62", "/b\\..",
+            "http://b.example/b", "https://a.example/b", "http://a.example:81/b", "*", "b", "/b%00");
+        for (String target : targets) {
+            Socket client = client(node);
+            Map<String, String> headers = headers("t-1", "order", "20000");
+            headers.put("Host", "a.example");
+            write(client, "POST " + target, headers, "book");
+            assertEquals("400", status(Peer.read(client)), target);
+        }
+        for (String hosts : List.of("Host: a.example\r\nHost: b.example\r\n", "Host: a.example\r\nHost: a.example\r\n", "",
+            "Host: a.example, b.example\r\n", "Host: a.example:\r\n", "Host: a..example\r\n", "Host: u@a.example\r\n")) {
+            Socket client = client(node);
+            Map<String, String> headers = headers("t-1", "order", "20000");
+            headers.remove("Host");
+            StringBuilder text = new StringBuilder("POST /api HTTP/1.1\r\n").append(hosts);
+            headers.forEach((name, value) -> text.append(name).append(": ").append(value).append("\r\n"));
+            client.getOutputStream().write(text.append("Content-Length: 0\r\n\r\n").toString()
+                .getBytes(StandardCharsets.US_ASCII));
+            assertEquals("400", status(Peer.read(client)), hosts);
+        }
+        assertTrue(a.seen.isEmpty() && b.seen.isEmpty());
+    }
+
+    @Test
+    void noRouteAndNoServerAreAnsweredAtOnce() throws Exception {
+        pool("a", "", named("a"));
+        Peer empty = peer(m -> m.answer(watched("{\"revision\":9,\"complete\":true,\"members\":[]}")));
+        settings("none", empty);
+        file.append("[[pool]]\nname = \"none\"\nsettings = \"none.json\"\nloop = \"").append(loop()).append("\"\n\n");
+        route("none", "host = \"none.example\"");
+        EdgeNode node = startPools();
+        empty.next();
+        assertEquals("404", status(ask(node, "nowhere", "t-1")));
+        String status = status(ask(node, "none", "t-2"));
+        assertTrue(status.equals("503") || status.equals("429"), status);
+        assertEquals("200", status(ask(node, "a", "t-3")));
+    }
+
+    private static String watched(String line) {
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(line.length() + 1)
+            + "\r\n" + line + "\n\r\n";
+    }
+
+    @Test
+    void poolsWithTheSameServerIdsTraceIdsAndCustomersStayApart() throws Exception {
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        Peer a = peer(m -> {
+            go.join();
+            m.answer(Peer.ok("", "a"));
+        });
+        pool("a", "", a);
+        pool("b", "", peer(m -> {
+            go.join();
+            m.answer(Peer.ok("", "b"));
+        }));
+        EdgeNode node = startPools();
+        Socket one = client(node), two = client(node);
+        shared(one, "a", "same");
+        shared(two, "b", "same");
+        a.next();
+        Socket again = client(node);
+        shared(again, "a", "same");
+        assertEquals("409", status(Peer.read(again)), "in one pool an open id is one request");
+        go.complete(null);
+        assertEquals("a", Peer.read(one).body());
+        assertEquals("b", Peer.read(two).body());
+        // One customer, one counter: each pool counts under names of its own.
+        List<String> spaces = new ArrayList<>();
+        while (!spaces.containsAll(List.of("a", "b"))) {
+            String counted = counter.next().first();
+            assertTrue(counted.matches("POST /tally/[ab]\\.[0-9]+\\?.*"), counted);
+            spaces.add(counted.substring("POST /tally/".length(), "POST /tally/".length() + 1));
+        }
+    }
+
+    /** As a customer who comes through two nodes, so that the counter is called. */
+    private static void shared(Socket to, String pool, String id) throws IOException {
+        Map<String, String> headers = headers(id, "order", "20000");
+        headers.put("Host", pool + ".example");
+        headers.put("X-Quota", "units=1,spread=2,first=0");
+        write(to, "POST /api", headers, "book");
+    }
+
+    @Test
+    void aCeilingThatOnePoolHasUsedUpIsWholeInAnother() throws Exception {
+        pool("a", "", named("a"));
+        pool("b", "", named("b"));
+        for (String name : List.of("a", "b")) {
+            Path at = folder.resolve(name + ".json");
+            Files.writeString(at, Files.readString(at).replace("\"hard-rate\": 0", "\"hard-rate\": 4")
+                .replace("\"hard-burst\": 0", "\"hard-burst\": 4"));
+        }
+        EdgeNode node = startPools();
+        // A ceiling starts with nothing: the customer's first requests are refused until it has filled.
+        int refused = 0;
+        String status = status(ask(node, "a", "w"));
+        for (int i = 0; !status.equals("200") && i < 2_000; i++) {
+            status = status(ask(node, "a", "w-" + i));
+            Thread.onSpinWait();
+        }
+        assertEquals("200", status);
+        for (int i = 0; i < 30; i++) {
+            refused += status(ask(node, "a", "t-" + i)).equals("200") ? 0 : 1;
+        }
+        assertTrue(refused > 10, "the ceiling must bind in pool a: " + refused);
+        String other = status(ask(node, "b", "u"));
+        for (int i = 0; !other.equals("200") && i < 2_000; i++) {
+            other = status(ask(node, "b", "u-" + i));
+        }
+        assertEquals("200", other, "and not in pool b");
+    }
+
+    @Test
+    void anAddressBelongsToOnePoolUntilItLetsGo() throws Exception {
+        Peer shared = named("x");
+        CompletableFuture<Void> drain = new CompletableFuture<>();
+        Peer list = peer(m -> {
+            drain.join();
+            m.answer(watched("{\"revision\":9,\"complete\":false,\"members\":["
+                + member("s-0", shared.address(), "Terminating", 0) + "]}"));
+        });
+        settings("a", list, member("s-0", shared.address(), "Ready", 0));
+        file.append("[[pool]]\nname = \"a\"\nsettings = \"a.json\"\nloop = \"").append(loop()).append("\"\n\n");
+        route("a", "host = \"a.example\"");
+        pool("b", "", shared);
+        EdgeNode node = startPools();
+        assertEquals("200", status(ask(node, "a", "t-1")));
+        assertFalse(status(ask(node, "b", "t-2")).equals("200"), "two pools must not push one server");
+        drain.complete(null);
+        String status = "";
+        for (int i = 0; !status.equals("200") && i < 10_000; i++) {
+            status = status(ask(node, "b", "t-3-" + i));
+        }
+        assertEquals("200", status, "what drains in one pool is free for the other");
+    }
+
+    @Test
+    void requestsOfSeveralPoolsOnOneConnectionAreAnsweredInTheirOrder() throws Exception {
+        pool("a", "", named("a"));
+        pool("b", "", named("b"));
+        EdgeNode node = startPools();
+        Socket client = client(node);
+        for (int i = 0; i < 50; i++) {
+            order(client, i % 3 == 0 ? "a" : "b", "t-" + i);
+        }
+        for (int i = 0; i < 50; i++) {
+            Peer.Message answer = Peer.read(client);
+            assertEquals("200", status(answer), "request " + i);
+            assertEquals(i % 3 == 0 ? "a" : "b", answer.body(), "request " + i);
+        }
+    }
+
+    @Test
+    void aRequestThatComesInSingleBytesIsReadAndALargeOneTurnedAway() throws Exception {
+        pool("a", "", named("a"));
+        EdgeNode node = startPools();
+        Socket slow = client(node);
+        slow.setTcpNoDelay(true);
+        Map<String, String> headers = headers("t-1", "order", "20000");
+        headers.put("Host", "a.example");
+        StringBuilder text = new StringBuilder("POST /api HTTP/1.1\r\n");
+        headers.forEach((name, value) -> text.append(name).append(": ").append(value).append("\r\n"));
+        for (byte one : text.append("Content-Length: 4\r\n\r\nbook").toString().getBytes(StandardCharsets.US_ASCII)) {
+            slow.getOutputStream().write(one);
+        }
+        assertEquals("200", status(Peer.read(slow)));
+        Socket large = client(node);
+        write(large, "POST /api", headers, "x".repeat(64 * 1024));
+        assertEquals("200", status(Peer.read(large)), "64 KiB are allowed");
+        Socket tooLarge = client(node);
+        tooLarge.getOutputStream().write(text.toString().replace("Content-Length: 4", "Content-Length: 65537")
+            .getBytes(StandardCharsets.US_ASCII));
+        assertEquals("413", status(Peer.read(tooLarge)));
+        Socket noise = client(node);
+        noise.getOutputStream().write("\u0001\u0002 noise\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        assertEquals("400", status(Peer.read(noise)));
+    }
+
+    @Test
+    void aClassThatOnePoolKnowsAndTheOtherDoesNot() throws Exception {
+        pool("a", "", named("a"));
+        pool("b", "", named("b"));
+        Path at = folder.resolve("b.json");
+        Files.writeString(at, Files.readString(at).replace("\"order\"", "\"booking\""));
+        EdgeNode node = startPools();
+        assertEquals("200", status(ask(node, "a", "t-1")));
+        Peer.Message answer = ask(node, "b", "t-2");
+        assertEquals("400", status(answer));
+        assertTrue(answer.body().startsWith("X-Qos is unknown"), answer.body());
+    }
+
+    @Test
+    void aPoolWhoseServersFailHangOrRefuseLeavesTheOtherAlone() throws Exception {
+        CompletableFuture<Void> end = new CompletableFuture<>();
+        toClose.add(() -> end.complete(null));
+        pool("failing", "", peer(m -> m.answer("HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n")));
+        pool("hanging", "", peer(m -> end.join()), peer(m -> end.join()));
+        ServerSocket closed = new ServerSocket(0);
+        poolOf("refusing", "", member("s-0", "127.0.0.1:" + closed.getLocalPort(), "Ready", 0));
+        closed.close();
+        pool("well", "", named("well"));
+        EdgeNode node = startPools();
+        List<Socket> open = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            Socket client = client(node);
+            order(client, "hanging", "h-" + i);
+            open.add(client);
+            // Each comes back, long before its time is up, while the other pool's are out.
+            assertFalse(status(ask(node, "failing", "f-" + i)).equals("200"));
+            assertFalse(status(ask(node, "refusing", "r-" + i)).equals("200"));
+            assertEquals("200", status(ask(node, "well", "w-" + i)));
+        }
+        end.complete(null);
+        for (Socket one : open) {
+            one.close();
+        }
+    }
+
+    @Test
+    void lentConnectionsComeBackWhileAllAreInUse() throws Exception {
+        CompletableFuture<Void> first = new CompletableFuture<>();
+        List<Peer> greedy = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            greedy.add(peer(m -> {
+                first.join();
+                m.answer(Peer.ok("", "b"));
+            }));
+        }
+        file.append("[process]\nconnections = 6\nconnects = 6\n\n");
+        pool("a", "guaranteed = { connections = 1, connects = 2 }\n", named("a"), named("a"), named("a"));
+        pool("b", "guaranteed = { connections = 1, connects = 2 }\n", greedy.toArray(Peer[]::new));
+        EdgeNode node = startPools();
+        List<Socket> open = new ArrayList<>();
+        // Pool b takes its own connection and the whole rest.
+        for (int i = 0, out = 0; out < 5 && i < 200; i++) {
+            Socket client = client(node);
+            order(client, "b", "b-" + i);
+            open.add(client);
+            out = greedy.stream().mapToInt(p -> p.seen.size()).sum();
+        }
+        // Pool a has its guaranteed one all the same, however often it is asked for.
+        for (int i = 0; i < 20; i++) {
+            assertEquals("200", status(ask(node, "a", "a-" + i)));
+        }
+        first.complete(null);
+        int served = 0;
+        for (Socket one : open) {
+            Peer.Message answer = Peer.read(one);
+            served += answer != null && status(answer).equals("200") ? 1 : 0;
+        }
+        assertTrue(served >= 1, "what was out in pool b ends there");
+    }
+
+    @Test
+    void aReloadMovesARouteAndWhatIsOutEndsWhereItBegan() throws Exception {
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        Peer old = peer(m -> {
+            go.join();
+            m.answer(Peer.ok("", "old"));
+        });
+        Peer removed = pool("a", "", old);
+        pool("b", "", named("new"));
+        EdgeNode node = startPools();
+        Socket client = client(node);
+        order(client, "a", "t-1");
+        old.next();
+        removed.next();
+        String whole = file.toString();
+        file.setLength(0);
+        file.append(whole.substring(whole.indexOf("[[pool]]\nname = \"b\"")));
+        route("b", "host = \"a.example\"");
+        reload(node);
+        String body = "";
+        for (int i = 0; !"new".equals(body) && i < 10_000; i++) {
+            body = ask(node, "a", "u-" + i).body();
+        }
+        assertEquals("new", body, "new requests go by the new file");
+        assertNull(removed.ended.poll(), "a pool with requests out goes on hearing of drains");
+        go.complete(null);
+        assertEquals("old", Peer.read(client).body());
+        assertNotNull(removed.ended.poll(60, TimeUnit.SECONDS), "with its last request the removed pool ends");
+        assertNotNull(old.ended.poll(60, TimeUnit.SECONDS), "and its connections");
+        // The client's connection goes on, now with the other pool.
+        order(client, "a", "t-2");
+        assertEquals("new", Peer.read(client).body());
+    }
+
+    @Test
+    void aRequestThatIsOutInARemovedPoolIsRepeatedThere() throws Exception {
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        Peer first = peer(m -> {
+            go.join();
+            m.socket().close();
+        });
+        pool("a", "", first, first);
+        pool("b", "", named("b"));
+        EdgeNode node = startPools();
+        Socket client = client(node);
+        order(client, "a", "t-1");
+        first.next();
+        String whole = file.toString();
+        file.setLength(0);
+        file.append(whole.substring(whole.indexOf("[[pool]]\nname = \"b\"")));
+        reload(node);
+        go.complete(null);
+        String status = status(Peer.read(client));
+        assertTrue(List.of("429", "502", "503").contains(status), status);
+        assertEquals("200", status(ask(node, "b", "t-2")));
+    }
+
+    @Test
+    void aPoolWhoseSettingsChangeStartsAnewAndOneThatOnlyMovesDoesNot() throws Exception {
+        Peer a = named("a");
+        Peer before = pool("a", "", a);
+        Peer stays = pool("b", "", named("b"));
+        EdgeNode node = startPools();
+        before.next();
+        stays.next();
+        Peer elsewhere = peer(m -> m.answer(UNCHANGED));
+        settings("b", elsewhere, member("s-0", "127.0.0.1:1", "Ready", 0));
+        Path at = folder.resolve("a.json");
+        Files.writeString(at, Files.readString(at).replace("\"units-per-s\": 1000", "\"units-per-s\": 900"));
+        reload(node);
+        assertNotNull(before.ended.poll(60, TimeUnit.SECONDS), "the old pool a ends");
+        assertTrue(before.next().first().contains("watch=1"), "a new one watches");
+        assertTrue(elsewhere.next().first().contains("watch=1&after=5"), "pool b moved with its list");
+        assertEquals("b", ask(node, "b", "t-1").body(), "and goes on with the servers it knows");
+        assertEquals("a", ask(node, "a", "t-2").body());
+    }
+
+    @Test
+    void manyReloadsUnderLoadLoseNothing() throws Exception {
+        pool("a", "", named("a"));
+        pool("b", "", named("b"));
+        EdgeNode node = startPools();
+        String whole = file.toString();
+        Socket client = client(node);
+        for (int i = 0; i < 60; i++) {
+            file.setLength(0);
+            file.append(i % 2 == 0 ? whole.replace("\"b\"", "\"c\"") : whole);
+            if (i % 2 == 0) {
+                // The same service under another name: another pool, with the same servers' addresses.
+                reload(node);
+            } else {
+                reload(node);
+                reload(node);
+            }
+            order(client, "a", "a-" + i);
+            assertEquals("200", status(Peer.read(client)));
+            assertEquals("200", status(ask(node, "b", "b-" + i)), "the pool that took the old one's place has its servers");
+        }
+    }
+}
--- a/src/test/java/rushpin/node/Stage.java
+++ b/src/test/java/rushpin/node/Stage.java
@@ -26,6 +26,10 @@
     Peer counter;
     volatile Peer.Script counting = m -> m.answer(Peer.ok("", "1"));
 
+    static {
+        Leaks.watch();
+    }
+
     @BeforeEach
     void peers() throws IOException {
         discovery = peer(m -> m.answer(UNCHANGED));
@@ -37,6 +41,7 @@
         for (int i = toClose.size() - 1; i >= 0; i--) {
             toClose.get(i).close();
         }
+        Leaks.assertNone();
     }
 
     Peer peer(Peer.Script script) throws IOException {
