--- a/src/main/java/rushpin/rig/PoolsScenario.java
+++ b/src/main/java/rushpin/rig/PoolsScenario.java
@@ -12,7 +12,7 @@
 final class PoolsScenario implements Scenario {
     private static final double STEADY_RATE = 150, BROKEN_RATE = 100, QUOTA = 200, FLOOD = 5 * QUOTA;
     private static final int CUSTOMERS = 10;
-    private static final double TOLERANCE = 0.10;
+    private static final double TOLERANCE = 0.10, AT_ONCE_MS = 150;
 
     @Override
     public String name() {
@@ -69,27 +69,36 @@
         Load steady = load(yard, node, "steady", "bulk", 150, options.seed() + 1);
         Load broken = load(yard, node, "broken", "bulk", 300, options.seed() + 2);
         Load flooded = load(yard, node, "flooded", "basic", 300, options.seed() + 3);
-        long stretchMs = options.isShort() ? 1_500 : 5_000;
+        long stretchMs = options.isShort() ? 1_800 : 6_000;
         int pairs = options.isShort() ? 2 : 6;
         steady.rate(STEADY_RATE);
         Thread.sleep(stretchMs / 2);
         steady.turn();
-        Load.Stretch calm = new Load.Stretch(), loaded = new Load.Stretch();
-        Load.Stretch bad = new Load.Stretch(), flood = new Load.Stretch();
+        Load.Stretch calm = new Load.Stretch(), loaded = new Load.Stretch(), flood = new Load.Stretch();
+        Load.Stretch fast = new Load.Stretch(), refusing = new Load.Stretch(), hanging = new Load.Stretch();
         long calmCpu = 0, loadedCpu = 0;
         for (int i = 0; i < pairs; i++) {
             long cpu = node.cpu();
             Thread.sleep(stretchMs);
             Load.Stretch one = steady.turn();
             calmCpu += node.cpu() - cpu;
+            // The first moments count: nothing may be noticed of them either.
+            cpu = node.cpu();
             yard.servers("broken").forEach(server -> server.fault(Faults.Kind.FAIL_FAST));
             broken.rate(BROKEN_RATE);
             flooded.rate(FLOOD);
-            // The first moments count: nothing may be noticed of them either.
-            cpu = node.cpu();
-            Thread.sleep(stretchMs / 2);
-            yard.servers("broken").forEach(server -> server.fault(Faults.Kind.STALL));
-            Thread.sleep(stretchMs / 2);
+            Thread.sleep(stretchMs / 3);
+            Load.Stretch phase = broken.turn();
+            for (AppServer server : yard.servers("broken")) {
+                server.refuse();
+            }
+            Thread.sleep(stretchMs / 3);
+            Load.Stretch second = broken.turn();
+            for (AppServer server : yard.servers("broken")) {
+                server.fault(Faults.Kind.STALL);
+                server.open();
+            }
+            Thread.sleep(stretchMs / 3);
             Load.Stretch two = steady.turn();
             loadedCpu += node.cpu() - cpu;
             broken.rate(0);
@@ -97,11 +106,12 @@
             broken.settle();
             flooded.settle();
             yard.servers("broken").forEach(server -> server.fault(null));
-            bad.add(broken.turn());
+            fast.add(phase);
+            refusing.add(second);
+            hanging.add(broken.turn());
             flood.add(flooded.turn());
             // What came while the others settled is neither.
             steady.settleStretch(steady.turn());
-            steady.settleStretch(one);
             steady.settleStretch(two);
             calm.add(one);
             loaded.add(two);
@@ -110,13 +120,22 @@
         steady.settle();
         row(report, loops, "steady", "calm", calm, calmCpu);
         row(report, loops, "steady", "loaded", loaded, 0);
-        row(report, loops, "broken", "loaded", bad, 0);
+        row(report, loops, "broken", "fails fast", fast, 0);
+        row(report, loops, "broken", "refuses connects", refusing, 0);
+        row(report, loops, "broken", "hangs", hanging, 0);
         row(report, loops, "flooded", "loaded", flood, loadedCpu);
         claim(report, loops, "p50", calm, loaded, 50);
         claim(report, loops, "p99", calm, loaded, 99);
-        report.claim("loops " + loops + ": no request of the steady pool is refused or failed ("
-            + (loaded.turnedAway + loaded.failed + loaded.none) + ")",
-            loaded.turnedAway + loaded.failed + loaded.none == 0);
+        int lost = loaded.turnedAway + loaded.failed + loaded.none;
+        report.claim("loops " + loops + ": no request of the steady pool is refused or failed (" + lost + ")", lost == 0);
+        atOnce(report, loops, "fails fast", fast);
+        atOnce(report, loops, "refuses connects", refusing);
+    }
+
+    private static void atOnce(Report report, String loops, String how, Load.Stretch of) {
+        double p99 = of.refused.getTotalCount() == 0 ? 0 : of.refused.getValueAtPercentile(99) / 1e3;
+        report.claim(String.format(Locale.ROOT, "loops %s: where a pool %s its clients are answered at once, p99 %.0f ms",
+            loops, how, p99), p99 < AT_ONCE_MS);
     }
 
     private static void row(Report report, String loops, String pool, String stretch, Load.Stretch of, long cpu) {
--- a/src/main/java/rushpin/rig/StandIn.java
+++ b/src/main/java/rushpin/rig/StandIn.java
@@ -43,6 +43,9 @@
 
     /** Listens, at the port it had before if it had one. */
     final StandIn open() throws InterruptedException {
+        if (listening != null && listening.isOpen()) {
+            return this;
+        }
         listening = bootstrap.bind(address == null ? new InetSocketAddress("127.0.0.1", 0) : address).sync().channel();
         address = (InetSocketAddress) listening.localAddress();
         return this;
@@ -50,7 +53,7 @@
 
     /** Takes no connection any more and breaks those it has. */
     final void refuse() {
-        listening.close();
+        listening.close().syncUninterruptibly();
         connections.forEach(Channel::close);
     }
 
