--- a/src/main/java/rushpin/cli/RigCommand.java
+++ b/src/main/java/rushpin/cli/RigCommand.java
@@ -29,6 +29,10 @@
     @Option(names = "--other", paramLabel = "JAR", description = "cost: another build to compare with.")
     private Path other;
 
+    @Option(names = "--flood", paramLabel = "N", defaultValue = "5",
+        description = "pools: how many times its quota the flooded pool is asked for (5).")
+    private double flood;
+
     static int run(String[] args) {
         return new CommandLine(new RigCommand()).execute(args);
     }
@@ -44,7 +48,7 @@
             System.err.println("there is no scenario " + name + "; rig alone lists them");
             return 2;
         }
-        Report report = scenario.play(new Scenario.Options(seed, isShort, other));
+        Report report = scenario.play(new Scenario.Options(seed, isShort, other, flood));
         report.print(System.out);
         if (json != null) {
             report.write(json);
--- a/src/main/java/rushpin/rig/DemoScenario.java
+++ b/src/main/java/rushpin/rig/DemoScenario.java
@@ -1,6 +1,7 @@
 package rushpin.rig;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 
@@ -70,6 +71,7 @@
         lookups.rate(60);
         bookings.rate(30);
         AppServer failing = yard.servers("lookups").get(0), draining = yard.servers("bookings").get(1);
+        List<List<Load.Stretch>> seen = new ArrayList<>();
         Load.Stretch allLookups = new Load.Stretch(), allBookings = new Load.Stretch();
         for (int second = 1; second <= seconds; second++) {
             String news = "";
@@ -90,13 +92,17 @@
                 + "served %2d refused %2d failed, p99 %4.0f ms   %s%n", second, one.ok, one.turnedAway, one.failed,
                 one.served.getValueAtPercentile(99) / 1e3, two.ok, two.turnedAway, two.failed,
                 two.served.getValueAtPercentile(99) / 1e3, news);
-            allLookups.add(one);
-            allBookings.add(two);
+            seen.add(List.of(one, two));
         }
         lookups.rate(0);
         bookings.rate(0);
         lookups.settle();
         bookings.settle();
+        // The last answers of a second come in the next one.
+        for (List<Load.Stretch> second : seen) {
+            allLookups.add(second.get(0));
+            allBookings.add(second.get(1));
+        }
         report.row("pool", "sent", "served", "refused", "failed");
         report.row("lookups", allLookups.sent, allLookups.ok, allLookups.turnedAway, allLookups.failed);
         report.row("bookings", allBookings.sent, allBookings.ok, allBookings.turnedAway, allBookings.failed);
