--- a/src/main/java/rushpin/gateway/Gateway.java
+++ b/src/main/java/rushpin/gateway/Gateway.java
@@ -288,7 +288,7 @@
         customer.store -= units;
         customer.unpushed += units;
         customer.usedAt = now;
-        active.add(customer);
+        if (customer.shared) { active.add(customer); }
     }
 
     /** How many customers and servers are remembered. */
@@ -348,7 +348,10 @@
             long idle = now - Math.max(usedAt, heard);
             if (jobs + asked > 0 || idle < 2 * span + REMEMBER || active.contains(this)) { return false; }
             refill();
-            return idle * NANO * plan.rate() >= plan.burst() && ceiling >= plan.ceilingBurst() / gateways;
+            boolean full = idle * NANO * plan.rate() >= plan.burst()
+                && ceiling >= plan.ceilingBurst() / gateways;
+            if (full) { drop(); }
+            return full;
         }
 
         /** Decides at once on fresh news; else the units go to the counter first and the total decides. */
@@ -418,20 +421,24 @@
 
         /** Use that the counter is yet to be told of. */
         void untold(double units) {
+            // What nobody shares is never pushed, and matters no longer than the store takes to fill.
+            if (!shared && now - usedAt >= span) { drop(); }
             unpushed += units;
             usedAt = now;
-            active.add(this);
+            if (shared) { active.add(this); }
             out.took(key, place, gateways, units);
         }
 
+        private void drop() {
+            if (unpushed != 0) { out.took(key, place, gateways, -unpushed); }
+            unpushed = 0;
+        }
+
         /** One call for a customer with fresh use, more often when its store runs low. */
         void push() {
             boolean fresh = Math.abs(unpushed) > 1e-6 && now - usedAt < span && shared;
             if (!fresh) {
-                // What nobody shares matters no longer than the store takes to fill.
-                if (now - usedAt < span && !shared) { return; }
-                if (unpushed != 0) { out.took(key, place, gateways, -unpushed); }
-                unpushed = 0;
+                drop();
                 active.remove(this);
             } else if (now >= pushAt && mayCall(0.25)) {
                 call(null);
