--- a/src/main/java/rushpin/node/UseStore.java
+++ b/src/main/java/rushpin/node/UseStore.java
@@ -322,6 +322,10 @@
 
     @Override
     public int renew(List<Long> absorbed, List<Entry> open, long nowMs) {
+        if (sink == null) {
+            // It has failed once, and said so: not again with each entry.
+            return MOST;
+        }
         Path old = file;
         FileChannel before = channel;
         List<Long> begins = new ArrayList<>(absorbed);
