xDS: subscription, cluster view and stand-in management server

Need: the yard's tooling describes a pool's servers as Envoy clusters and endpoints.

Change: membership.xds decides without I/O what is asked, taken and refused in both forms of ADS, and what the pool is told; net.xds carries it by gRPC or from a file; rig.ManagementServer speaks both forms. Not yet in docs; the operator's table [pool.xds] is read.

--- a/src/main/java/rushpin/config/Keys.java
+++ b/src/main/java/rushpin/config/Keys.java
@@ -89,6 +89,20 @@
         return otherwise;
     }
 
+    /** A list of texts; empty where none stands there. */
+    List<String> texts(String key, int most) {
+        Object value = value(key);
+        if (value == null) {
+            return List.of();
+        }
+        if (!(value instanceof TomlArray array) || array.size() > most || array.isEmpty()
+            || !array.toList().stream().allMatch(String.class::isInstance)) {
+            fault(key, "found " + kind(value), "a list of 1 to " + most + " texts");
+            return List.of();
+        }
+        return array.toList().stream().map(String.class::cast).toList();
+    }
+
     /** True or false; false where none stands there. */
     boolean flag(String key) {
         Object value = value(key);
--- a/src/main/java/rushpin/config/OperatorFile.java
+++ b/src/main/java/rushpin/config/OperatorFile.java
@@ -23,6 +23,7 @@
 import rushpin.membership.discovery.RollReader;
 import rushpin.net.ByteBudget;
 import rushpin.net.Upstream;
+import rushpin.net.xds.XdsPlan;
 import rushpin.route.Reading;
 import rushpin.route.Route;
 import rushpin.route.RouteTable;
@@ -139,12 +140,17 @@
         String host = pool.text("host", false);
         String loop = pool.word("loop", "shared", List.of("shared", "own"));
         boolean first = pool.flag("count-first");
+        boolean inXds = pool.has("xds");
+        XdsPlan xds = inXds && name != null ? XdsKeys.read(pool.table("xds"), name, folder, platform) : null;
         Keys guaranteed = pool.table("guaranteed");
         Grants part = grants(guaranteed, new Grants(half(total.requests(), count), half(total.connections(), count),
             half(total.bytes(), count), half(total.connects(), count)), total);
         guaranteed.done();
         SocketAddress watched = config == null ? null : address(pool, "discovery", discovery, config.discovery());
         SocketAddress counts = config == null ? null : address(pool, "counter", counter, config.counter());
+        if (inXds && discovery != null) {
+            pool.fault("discovery", "there is an [xds] table too", "one source of servers");
+        }
         pool.done();
         if (config == null || name == null || faults.size() > before) {
             return null;
@@ -153,7 +159,9 @@
             pool.fault("counter", "the settings have a counter and no address is given", "host:port");
             return null;
         }
-        if (watched == null && config.known().members().stream().noneMatch(Member::isReady)) {
+        if (inXds) {
+            watched = null;
+        } else if (watched == null && config.known().members().stream().noneMatch(Member::isReady)) {
             pool.fault("discovery", "there is none and the settings list no server that is ready",
                 "host:port, or a list under \"known\" in the settings");
             return null;
@@ -163,7 +171,7 @@
             config.settings().counter().largest(), config.names(), (space == null ? name : space) + ".",
             host);
         return new PoolPlan(name, upstream, first ? countingFirst(config.settings()) : config.settings(), seed(config, name),
-            config.known(), loop.equals("own"), part);
+            config.known(), loop.equals("own"), part, xds);
     }
 
     private static Settings countingFirst(Settings of) {
--- a/src/main/java/rushpin/config/PoolPlan.java
+++ b/src/main/java/rushpin/config/PoolPlan.java
@@ -4,16 +4,24 @@
 import rushpin.gateway.Ports.Settings;
 import rushpin.membership.Roll;
 import rushpin.net.Upstream;
+import rushpin.net.xds.XdsPlan;
 
 /**
  * All that a pool is made from.
  *
  * @param name as the operator calls it; empty for the platform's one pool
+ * @param xds where its servers come from in place of discovery; null for none
  * @param ownLoop whether it has an event loop to itself
  * @param guaranteed what it may use whatever the others do; null for the platform's one pool, which has all
  */
 public record PoolPlan(String name, Upstream upstream, Settings settings, long seed, Roll known, boolean ownLoop,
-                       Grants guaranteed) {
+                       Grants guaranteed, XdsPlan xds) {
+    /** A pool whose servers discovery tells. */
+    public PoolPlan(String name, Upstream upstream, Settings settings, long seed, Roll known, boolean ownLoop,
+                    Grants guaranteed) {
+        this(name, upstream, settings, seed, known, ownLoop, guaranteed, null);
+    }
+
     /** The platform's one pool. */
     public static PoolPlan platform(Config config) {
         return new PoolPlan("", config.upstream(), config.settings(), config.seed(), config.known(), false, null);
@@ -28,6 +36,7 @@
             && upstream.countPrefix().equals(other.upstream.countPrefix())
             && upstream.connectTimeout() == other.upstream.connectTimeout()
             && upstream.keepAlive() == other.upstream.keepAlive()
+            && Objects.equals(xds, other.xds)
             && Objects.equals(upstream.host(), other.upstream.host());
     }
 }
--- /dev/null
+++ b/src/main/java/rushpin/membership/xds/Endpoints.java
@@ -0,0 +1,31 @@
+package rushpin.membership.xds;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import rushpin.gateway.Ports.Readiness;
+
+/**
+ * What is taken of {@code envoy.config.endpoint.v3.ClusterLoadAssignment}.
+ *
+ * @param name the cluster's name in it
+ * @param all its endpoints, each id and each address once
+ * @param dropped the part of requests that is to be turned away, 0 to 1
+ * @param staleAfter nanoseconds after which it may not be used any more unless it comes again; 0 for never
+ */
+public record Endpoints(String name, List<One> all, double dropped, long staleAfter) {
+    /**
+     * One endpoint.
+     *
+     * @param id the same for as long as it is the same server
+     * @param weight above 0
+     * @param started Unix time in nanoseconds; 0 for long ago, -1 where it is not said
+     */
+    public record One(String id, InetSocketAddress address, Readiness readiness, double weight, String zone, int priority,
+                      long started, String kind, int cell) {
+    }
+
+    /** No endpoints. */
+    public static Endpoints none(String name) {
+        return new Endpoints(name, List.of(), 0, 0);
+    }
+}
--- a/src/main/java/rushpin/net/ServerPool.java
+++ b/src/main/java/rushpin/net/ServerPool.java
@@ -68,6 +68,9 @@
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final Map<String, Endpoint> endpoints = new HashMap<>();
+    /** The same by address: a list of thousands must not cost a look at all for each of them. */
+    private final Map<SocketAddress, Endpoint> places = new HashMap<>();
+    private int held, most = Integer.MAX_VALUE;
     private final long idleLimit;
     private final Slots slots;
     private final double mostUnits;
@@ -157,7 +160,9 @@
                 drop(known);
             }
             if (ready && !same) {
-                endpoints.put(server.id(), new Endpoint(member));
+                Endpoint made = new Endpoint(member);
+                endpoints.put(server.id(), made);
+                places.put(made.address, made);
             }
         }
         if (whole) {
@@ -166,6 +171,12 @@
         return told;
     }
 
+    /** From now on connections may take so long to make, nanoseconds, and be so many; 0 for no bound but the slots. */
+    public void bounds(long connectTimeout, int mostConnections) {
+        bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / MS));
+        most = mostConnections == 0 ? Integer.MAX_VALUE : mostConnections;
+    }
+
     /** The end of the pool: no attempt is out any more. */
     public void close() {
         sweep.cancel(false);
@@ -173,17 +184,14 @@
     }
 
     private Endpoint holder(Member of) {
-        for (Endpoint endpoint : endpoints.values()) {
-            if (endpoint.address.equals(of.address()) && !endpoint.server.id().equals(of.server().id())) {
-                return endpoint;
-            }
-        }
-        return null;
+        Endpoint found = places.get(of.address());
+        return found == null || found.server.id().equals(of.server().id()) ? null : found;
     }
 
     private void drop(Endpoint endpoint) {
         endpoint.retire();
         endpoints.remove(endpoint.server.id());
+        places.remove(endpoint.address, endpoint);
     }
 
     /** Begins an attempt; its outcome is told later, never from within this call. */
@@ -209,16 +217,25 @@
         if (!slots.takeConnect()) {
             return false;
         }
-        boolean may = slots.takeConnection() || makeRoom(to) && slots.takeConnection();
+        boolean may = takeConnection() || makeRoom(to) && takeConnection();
         if (!may) {
             slots.giveConnect();
         }
         return may;
     }
 
+    private boolean takeConnection() {
+        boolean may = held < most && slots.takeConnection();
+        held += may ? 1 : 0;
+        return may;
+    }
+
     private void connect(Endpoint endpoint, Attempt attempt) {
         ChannelFuture connecting = bootstrap.connect(endpoint.address);
-        connecting.channel().closeFuture().addListener(closed -> slots.giveConnection());
+        connecting.channel().closeFuture().addListener(closed -> {
+            held--;
+            slots.giveConnection();
+        });
         connecting.addListener(done -> {
             slots.giveConnect();
             if (!done.isSuccess() || endpoint.retired) {
--- /dev/null
+++ b/src/main/java/rushpin/net/xds/LastGood.java
@@ -0,0 +1,79 @@
+package rushpin.net.xds;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.List;
+import java.util.function.Consumer;
+import rushpin.gateway.Ports.Readiness;
+import rushpin.gateway.Ports.Server;
+import rushpin.membership.Member;
+import rushpin.membership.Names;
+import rushpin.membership.Roll;
+import rushpin.membership.discovery.RollReader;
+
+/**
+ * The list as last told, in the state folder, in the form of the platform's discovery: the next start takes it as
+ * cached. Replaced by rename, so it is whole or the one before.
+ */
+public final class LastGood {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long MS = 1_000_000L;
+
+    private final Path file;
+    private final Names names;
+    private boolean failed;
+
+    /** The list of a pool in a folder. */
+    public LastGood(Path folder, String pool, Names names) {
+        file = folder.resolve("xds-" + pool + ".json");
+        this.names = names;
+    }
+
+    /** The list of the process before; empty if there is none that can be read. */
+    public List<Member> read(Consumer<String> log) {
+        if (!Files.exists(file)) {
+            return List.of();
+        }
+        try {
+            Roll roll = RollReader.read(Files.readString(file), names);
+            return roll.members().stream().filter(member -> member.server().readiness() != Readiness.GONE).toList();
+        } catch (IOException | RollReader.Malformed e) {
+            log.accept("the list as last had, " + file + ", cannot be used: " + e.getMessage());
+            return List.of();
+        }
+    }
+
+    private static String at(List<String> of, int index) {
+        return index < 0 || index >= of.size() ? "" : of.get(index);
+    }
+
+    /** Keeps a list; trouble with the folder costs one line. */
+    void save(List<Member> members, Consumer<String> log) {
+        ObjectNode root = JSON.createObjectNode().put("revision", 0).put("complete", true);
+        ArrayNode all = root.putArray("members");
+        for (Member member : members) {
+            Server s = member.server();
+            all.addObject().put("id", s.id()).put("host_port", member.address().toString().replaceFirst("^[^/]*/", ""))
+                .put("locality", at(names.zones(), s.zone())).put("flavor", at(names.kinds(), s.kind())).put("cell", s.cell())
+                .put("phase", s.readiness() == Readiness.READY ? "Ready" : "Terminating").put("size", s.size())
+                .put("up_since_ms", s.startedAt() / MS);
+        }
+        try {
+            Files.createDirectories(file.getParent());
+            Path draft = file.resolveSibling(file.getFileName() + "." + ProcessHandle.current().pid() + ".draft");
+            Files.writeString(draft, root.toString());
+            Files.move(draft, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            failed = false;
+        } catch (IOException e) {
+            if (!failed) {
+                failed = true;
+                log.accept("the list is not kept over a restart: " + e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rushpin/net/xds/XdsSource.java
@@ -0,0 +1,223 @@
+package rushpin.net.xds;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import rushpin.gateway.Ports.ListKind;
+import rushpin.membership.Member;
+import rushpin.membership.Names;
+import rushpin.membership.Roll;
+import rushpin.membership.xds.ClusterSpec;
+import rushpin.membership.xds.ClusterView;
+import rushpin.membership.xds.Endpoints;
+import rushpin.membership.xds.Retry;
+import rushpin.membership.xds.Subscription;
+import rushpin.net.DiscoveryClient;
+import rushpin.net.Trouble;
+
+/**
+ * A pool's servers from an xDS management server or file. Messages are read and decided on a thread of its own, so that
+ * a list of thousands takes no time from the pool's loop; what the pool is told goes to its loop, in order.
+ *
+ * <p>Bounds: one stream, one message at a time, {@link XdsPlan#mostMessage} bytes each, {@value #MOST_A_SECOND} a second.
+ */
+public final class XdsSource implements Subscription.Port, ClusterView.Port {
+    private static final int MOST_A_SECOND = 100;
+    private static final long MS = 1_000_000L, FIRST_WAIT = 200 * MS, MOST_WAIT = 10_000 * MS, SILENT = 15_000 * MS;
+    private static final long LOOK_MS = 500;
+
+    /** Hears the list, and what the cluster says of its own bounds. */
+    public interface Listener extends DiscoveryClient.Listener {
+        /** Bounds of the cluster; 0 for none. */
+        void bounds(long connectTimeout, int mostConnections, int mostRequests);
+
+        /** The part of requests that is to be turned away. */
+        void dropped(double part);
+    }
+
+    private final XdsPlan plan;
+    private final Listener pool;
+    private final EventLoop loop;
+    private final String name;
+    private final ClusterView view;
+    private final Subscription subscription;
+    private final Retry retry;
+    private final LastGood lastGood;
+    private final ScheduledExecutorService thread;
+    private GrpcStream stream;
+    private double dropped;
+    private boolean saving;
+    private volatile boolean heard, closed;
+
+    /** Connects nowhere yet; {@code known} is the list as last known, {@code state} the folder that keeps it, or null. */
+    public XdsSource(XdsPlan plan, String pool, Names names, List<Member> known, Path state, long seed, EventLoop loop,
+                     Listener listener) {
+        this.plan = plan;
+        this.pool = listener;
+        this.loop = loop;
+        name = pool;
+        view = new ClusterView(names, plan.rules(), known, this);
+        subscription = new Subscription(plan.form(), plan.cluster(), plan.all(), this);
+        retry = new Retry(Math.max(1, plan.servers().size()), FIRST_WAIT, MOST_WAIT, new SplittableRandom(seed));
+        lastGood = state == null ? null : new LastGood(state, pool, names);
+        thread = Executors.newSingleThreadScheduledExecutor(work -> {
+            Thread made = new Thread(work, "xds " + pool);
+            made.setDaemon(true);
+            return made;
+        });
+    }
+
+    /** Begins. */
+    public void start(boolean hasList) {
+        // With a list from before, a management server that is away must not keep the node from serving.
+        long patience = hasList ? 1_000 * MS : plan.rules().warming();
+        thread.schedule(() -> { heard = true; }, patience, TimeUnit.NANOSECONDS);
+        thread.scheduleWithFixedDelay(guarded(() -> {
+            view.time(System.nanoTime(), wall());
+        }), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        if (plan.path() != null) {
+            FileWatch watch = new FileWatch(plan.path(), plan.cluster(), this);
+            thread.scheduleWithFixedDelay(guarded(watch::look), 0, LOOK_MS, TimeUnit.MILLISECONDS);
+        } else {
+            thread.execute(guarded(this::connect));
+        }
+    }
+
+    /** Whether a list has come, or has been waited for long enough. */
+    public boolean heard() {
+        return heard;
+    }
+
+    /** Hears nothing more. */
+    public void close() {
+        closed = true;
+        thread.execute(() -> {
+            if (stream != null) {
+                stream.close("the pool has ended");
+            }
+            thread.shutdown();
+        });
+    }
+
+    /** A fault in one message or one look must not end what comes after it. */
+    Runnable guarded(Runnable work) {
+        return () -> {
+            try {
+                work.run();
+            } catch (RuntimeException e) {
+                Trouble.report("xds of pool " + name, e);
+            }
+        };
+    }
+
+    private void connect() {
+        if (closed) {
+            return;
+        }
+        InetSocketAddress to = plan.servers().get(retry.server());
+        try {
+            stream = new GrpcStream(plan, to, loop, thread, this);
+        } catch (IOException e) {
+            log("the management server " + to + " cannot be asked: " + e.getMessage());
+            again(false);
+            return;
+        }
+        GrpcStream opened = stream;
+        subscription.opened();
+        thread.schedule(guarded(() -> {
+            if (opened == stream && !opened.hasAnswered()) {
+                opened.close("no answer for " + SILENT / 1_000 / MS + " s");
+                ended(opened, "no answer");
+            }
+        }), SILENT, TimeUnit.NANOSECONDS);
+    }
+
+    private void again(boolean hadAnswered) {
+        long wait = retry.ended(hadAnswered);
+        try {
+            thread.schedule(guarded(this::connect), wait, TimeUnit.NANOSECONDS);
+        } catch (RejectedExecutionException e) {
+            // The pool has ended.
+        }
+    }
+
+    /** An answer; the stream asks for the next one when this is done, and not faster than so many a second. */
+    void answered(GrpcStream from, Subscription.Answer answer) {
+        if (from == stream && !closed) {
+            subscription.answered(answer);
+            thread.schedule(from::next, 1_000 / MOST_A_SECOND, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** A stream has ended; what was taken stays in force. */
+    void ended(GrpcStream of, String why) {
+        if (of != stream || closed) {
+            return;
+        }
+        stream = null;
+        subscription.closed();
+        log("the stream to the management server " + of.server() + " has ended: " + why
+            + "; the list stays as it is");
+        again(of.hasAnswered());
+    }
+
+    @Override
+    public void ask(Subscription.Ask ask) {
+        stream.send(ask);
+    }
+
+    @Override
+    public void giveUp(String why) {
+        GrpcStream of = stream;
+        of.close(why);
+        ended(of, why);
+    }
+
+    @Override
+    public void cluster(ClusterSpec spec) {
+        if (spec != null) {
+            loop.execute(() -> pool.bounds(spec.connectTimeout(), spec.mostConnections(), spec.mostRequests()));
+        }
+        view.cluster(spec, System.nanoTime(), wall());
+    }
+
+    @Override
+    public void endpoints(Endpoints endpoints) {
+        view.endpoints(endpoints, System.nanoTime(), wall());
+        if (view.dropped() != dropped) {
+            dropped = view.dropped();
+            double part = dropped;
+            loop.execute(() -> pool.dropped(part));
+        }
+    }
+
+    private static long wall() {
+        return System.currentTimeMillis() * MS;
+    }
+
+    @Override
+    public void list(Roll roll, boolean whole) {
+        heard = true;
+        loop.execute(() -> pool.list(roll, whole ? ListKind.FULL : ListKind.DELTA));
+        if (lastGood != null && !saving) {
+            saving = true;
+            thread.schedule(guarded(() -> {
+                saving = false;
+                lastGood.save(new ArrayList<>(view.members()), this::log);
+            }), 1, TimeUnit.SECONDS);
+        }
+    }
+
+    @Override
+    public void log(String text) {
+        System.out.println(name + ": xds: " + text);
+    }
+}
--- a/src/main/java/rushpin/node/Pool.java
+++ b/src/main/java/rushpin/node/Pool.java
@@ -19,6 +19,7 @@
 import rushpin.gateway.Ports.Server;
 import rushpin.gateway.Ports.Settings;
 import rushpin.lifecycle.Stalls;
+import rushpin.membership.Member;
 import rushpin.membership.Names;
 import rushpin.membership.Roll;
 import rushpin.membership.Starts;
@@ -29,6 +30,8 @@
 import rushpin.net.ServerPool;
 import rushpin.net.Service;
 import rushpin.net.Trouble;
+import rushpin.net.xds.LastGood;
+import rushpin.net.xds.XdsSource;
 import rushpin.quota.UseRecord;
 
 /**
@@ -36,7 +39,7 @@
  * the module and the module's actions back. All of it runs on one event loop thread, so nothing here is locked and
  * the module's contract of one caller holds.
  */
-final class Pool implements Ports.Actions, Service, ServerPool.Listener, DiscoveryClient.Listener {
+final class Pool implements Ports.Actions, Service, ServerPool.Listener, XdsSource.Listener {
     private static final long MS = 1_000_000L;
     /** So long before the client's deadline a request that the module has left unanswered is failed. */
     private static final long LAST_MOMENT = 6 * MS;
@@ -58,6 +61,10 @@
     private final CounterClient counter;
     private final DiscoveryClient discovery;
     private Gateway gateway;
+    /** In place of discovery; null for none. */
+    private XdsSource xds;
+    private double dropped, dropDebt;
+    private int mostOpen;
     private final Stalls stalls;
     private final Starts starts = new Starts();
     private Runnable ended;
@@ -100,12 +107,45 @@
             adoption = loop.scheduleAtFixedRate(() -> restore(use.adopt(System.currentTimeMillis())), ADOPT, ADOPT,
                 TimeUnit.NANOSECONDS);
         }
+        if (plan.xds() != null) {
+            startXds(known, state);
+            return;
+        }
         apply(known, ListKind.CACHED);
         if (discovery != null) {
             discovery.start(plan.known().revision());
         }
     }
 
+    private void startXds(Roll known, Path state) {
+        List<Member> members = known.members();
+        List<Member> kept = state == null ? List.of() : new LastGood(state, plan.name(), names()).read(this::log);
+        members = kept.isEmpty() ? members : kept;
+        xds = new XdsSource(plan.xds(), plan.name(), names(), members, state, plan.seed(), loop, this);
+        // The first of all lists goes the way of all others: another pool may have a word in it.
+        list(new Roll(0, true, members), ListKind.CACHED);
+        xds.start(!members.isEmpty());
+    }
+
+    @Override
+    public void bounds(long connectTimeout, int mostConnections, int mostRequests) {
+        servers.bounds(connectTimeout == 0 ? plan.upstream().connectTimeout() : connectTimeout, mostConnections);
+        mostOpen = mostRequests;
+    }
+
+    @Override
+    public void dropped(double part) {
+        dropped = part;
+    }
+
+    /** Turns away the part that the cluster says, evenly: the same history gives the same answers. */
+    private boolean drops() {
+        dropDebt += dropped;
+        boolean drop = dropDebt >= 1;
+        dropDebt -= drop ? 1 : 0;
+        return drop;
+    }
+
     private void restore(List<UseRecord.Balance> untold) {
         untold.forEach(b -> event(null, now ->
             gateway.restore(now, b.customer(), b.plan() & 0xff, b.plan() >> 8, b.units())));
@@ -136,6 +176,9 @@
             if (discovery != null) {
                 discovery.close();
             }
+            if (xds != null) {
+                xds.close();
+            }
             counter.close();
             servers.close();
             budgets.close();
@@ -163,7 +206,7 @@
 
     /** Whether the list has been heard, or has been silent for so long that the known one must do. */
     boolean ready() {
-        return discovery == null || discovery.heard();
+        return xds != null ? xds.heard() : discovery == null || discovery.heard();
     }
 
     /** The time, and a sign of life: the module's own tick comes each 10 ms. */
@@ -248,7 +291,7 @@
 
     @Override
     public void take(OpenRequest taken) {
-        if (closed || !budgets.take(taken)) {
+        if (closed || mostOpen > 0 && open.size() >= mostOpen || dropped > 0 && drops() || !budgets.take(taken)) {
             // Nothing was sent for it, and its pool is full or has just gone: to come again is harmless.
             taken.answerOnce().refused(Budgets.COME_BACK);
             taken.settle();
