Another management server's versions are not taken for its own; TLS and mutual TLS tested

Cause: on a new stream the node said what it had by versions of another server; where the two used the same numbers for other resources, nothing was sent and the old list stayed.

Change: versions are told to the server that they came from alone.

--- a/src/main/java/rushpin/membership/xds/Subscription.java
+++ b/src/main/java/rushpin/membership/xds/Subscription.java
@@ -112,6 +112,11 @@
                 List.of(), Map.of(), error));
         }
 
+        void forget() {
+            versions.clear();
+            version = "";
+        }
+
         void begin() {
             asked = false;
             nonce = "";
@@ -135,9 +140,21 @@
         clusters.names = wildcard ? List.of("*") : List.of(cluster);
     }
 
-    /** A stream is there. What had been taken before is not asked for anew, only what has changed since. */
+    /** A stream is there, to the server of the one before. */
     public void opened() {
+        opened(true);
+    }
+
+    /**
+     * A stream is there. From the same server only what has changed since is wanted; another one's versions are its own:
+     * that two say the same number does not say that they mean the same.
+     */
+    public void opened(boolean sameServer) {
         open = true;
+        if (!sameServer) {
+            clusters.forget();
+            assignments.forget();
+        }
         stray = 0;
         clusters.begin();
         assignments.begin();
--- a/src/main/java/rushpin/net/xds/XdsSource.java
+++ b/src/main/java/rushpin/net/xds/XdsSource.java
@@ -53,6 +53,7 @@
     private final LastGood lastGood;
     private final ScheduledExecutorService thread;
     private GrpcStream stream;
+    private InetSocketAddress lastAnswered;
     private double dropped;
     private boolean saving;
     private volatile boolean heard, closed;
@@ -131,7 +132,7 @@
             return;
         }
         GrpcStream opened = stream;
-        subscription.opened();
+        subscription.opened(to.equals(lastAnswered));
         thread.schedule(guarded(() -> {
             if (opened == stream && !opened.hasAnswered()) {
                 opened.close("no answer for " + SILENT / 1_000 / MS + " s");
@@ -152,6 +153,7 @@
     /** An answer; the stream asks for the next one when this is done, and not faster than so many a second. */
     void answered(GrpcStream from, Subscription.Answer answer) {
         if (from == stream && !closed) {
+            lastAnswered = from.server();
             subscription.answered(answer);
             thread.schedule(from::next, 1_000 / MOST_A_SECOND, TimeUnit.MILLISECONDS);
         }
--- a/src/main/java/rushpin/rig/Judge.java
+++ b/src/main/java/rushpin/rig/Judge.java
@@ -87,7 +87,8 @@
                 continue;
             }
             if (e.status() == Records.NONE) {
-                breach(Rule.NO_REQUEST_LOST, name + " got no answer");
+                breach(Rule.NO_REQUEST_LOST, name + " got no answer, the end came after "
+                    + (e.answeredAt() - e.at()) / MS + " ms");
             } else if (e.answeredAt() - e.at() > e.patience() + SOCKET_SLACK) {
                 breach(Rule.NO_REQUEST_LOST, name + " was answered " + (e.answeredAt() - e.at()) / MS + " ms after it "
                     + "was sent, its client waits " + e.patience() / MS);
--- a/src/main/java/rushpin/rig/Load.java
+++ b/src/main/java/rushpin/rig/Load.java
@@ -251,6 +251,10 @@
 
     private void ended(Ask ask, long at, int status, boolean whole, boolean excused, long retryAfter) {
         long now = System.nanoTime();
+        if (status == Records.NONE && !excused) {
+            // What the judge will call lost: where it was, for whoever looks for the cause.
+            System.out.println("no answer: " + ask.id + " at " + ask.node + ", try " + ask.tries);
+        }
         records.add(new Records.Exchange(group.pool, ask.id, ask.key, ask.order ? "order" : "lookup",
             group.customer(ask.customer), group.plan, 1, at, group.patienceMs * MS, status, now, whole, excused));
         Histogram times = status == 200 ? ask.counts.served : ask.counts.refused;
--- a/src/main/java/rushpin/rig/ManagementServer.java
+++ b/src/main/java/rushpin/rig/ManagementServer.java
@@ -15,6 +15,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.ssl.SslContext;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -48,17 +49,24 @@
     private final Map<String, Map<String, Kept>> kinds = new HashMap<>();
     private final Set<Stream<?>> streams = new LinkedHashSet<>();
     private final BlockingQueue<Reply> replies = new LinkedBlockingQueue<>(MOST_REFUSALS);
+    private final SslContext tls;
     private Server server;
     private int port;
     private long version, nonces;
 
-    /** Listens at a port of the system's. */
+    /** Listens at a port of the system's, in plain text. */
     public ManagementServer() throws IOException {
+        this(null);
+    }
+
+    /** Listens at a port of the system's, by TLS unless {@code tls} is null. */
+    public ManagementServer(SslContext tls) throws IOException {
+        this.tls = tls;
         open();
     }
 
     private void open() throws IOException {
-        server = NettyServerBuilder.forAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+        NettyServerBuilder builder = NettyServerBuilder.forAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
             .bossEventLoopGroup(group).workerEventLoopGroup(group).channelType(NioServerSocketChannel.class).directExecutor()
             .maxInboundMessageSize(64 << 20).addService(new AggregatedDiscoveryServiceGrpc.AggregatedDiscoveryServiceImplBase() {
                 @Override
@@ -70,7 +78,11 @@
                 public StreamObserver<DeltaDiscoveryRequest> deltaAggregatedResources(StreamObserver<DeltaDiscoveryResponse> to) {
                     return new Changes(to);
                 }
-            }).build().start();
+            });
+        if (tls != null) {
+            builder.sslContext(tls);
+        }
+        server = builder.build().start();
         port = server.getPort();
     }
 
--- a/src/test/java/rushpin/config/OperatorFileTest.java
+++ b/src/test/java/rushpin/config/OperatorFileTest.java
@@ -1,6 +1,8 @@
 package rushpin.config;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -11,6 +13,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import rushpin.membership.xds.Form;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -49,8 +52,10 @@
     @Test
     void theExampleIsGood() throws Exception {
         Operator read = OperatorFile.read(Path.of("deploy/rushpin.toml"), null);
-        assertEquals(List.of("lookups", "bookings"), read.pools().stream().map(PoolPlan::name).toList());
-        assertEquals(4, read.routes().size());
+        assertEquals(List.of("lookups", "bookings", "gates", "cranes"), read.pools().stream().map(PoolPlan::name).toList());
+        assertEquals(6, read.routes().size());
+        assertEquals(2, read.pools().get(2).xds().servers().size());
+        assertEquals("cranes.yaml", read.pools().get(3).xds().path().getFileName().toString());
         assertEquals(new Grants(800, 300, 4_194_304, 64), read.total());
         assertEquals(80, read.pools().get(0).guaranteed().connections());
         assertEquals("lookups.", read.pools().get(0).upstream().countPrefix());
@@ -157,4 +162,39 @@
         Files.writeString(at, Files.readString(at).replace("\"my-zone\": 0,", "").replace("\"siblings\": 2", "\"siblings\": -2"));
         only(POOLS, "settings.siblings is not a number from 0: -2", "settings.my-zone is missing");
     }
+
+    private static String xds(String keys) {
+        return "[[pool]]\nname = \"a\"\nsettings = \"a.json\"\n[pool.xds]\n" + keys + "\n[[route]]\npool = \"a\"\n";
+    }
+
+    @Test
+    void aPoolMayTakeItsServersFromManagementServersOrFromAFile() throws Exception {
+        PoolPlan streamed = OperatorFile.parse(xds("servers = [\"127.0.0.1:1\", \"127.0.0.1:2\"]\nform = \"sotw\"\n"
+            + "cluster = \"c\"\nsubscribe = \"all\"\nnode = \"n\"\nmost-removed-percent = 40\nguard-ms = 5000\n"), folder, null)
+            .pools().get(0);
+        assertEquals(Form.SOTW, streamed.xds().form());
+        assertEquals("c", streamed.xds().cluster());
+        assertEquals(0.4, streamed.xds().rules().mostRemoved());
+        assertEquals(5_000_000_000L, streamed.xds().rules().guard());
+        assertNull(streamed.upstream().discovery());
+        PoolPlan filed = OperatorFile.parse(xds("path = \"x.yaml\"\n"), folder, null).pools().get(0);
+        assertEquals(folder.resolve("x.yaml"), filed.xds().path());
+        assertEquals("a", filed.xds().cluster(), "the pool's own name unless said");
+        assertEquals(0, filed.xds().rules().guard(), "no guard unless said: the rule on drains comes first");
+        assertFalse(filed.differsOnlyInAddresses(streamed));
+    }
+
+    @Test
+    void faultsOfXdsNameTheKeyAndWhatIsAllowed() {
+        only(xds("form = \"delta\"\n"), "pool[1].xds.servers", "one of them");
+        only(xds("servers = [\"127.0.0.1:1\"]\npath = \"x\"\n"), "servers and path are both there");
+        only(xds("servers = [\"127.0.0.1\"]\n"), "host:port");
+        only(xds("servers = \"127.0.0.1:1\"\n"), "a list of 1 to 8 texts");
+        only(xds("path = \"x\"\nform = \"deltas\"\n"), "did you mean delta?");
+        only(xds("path = \"x\"\nca = \"nowhere.pem\"\n"), "pool[1].xds.ca", "cannot be read");
+        only(xds("path = \"x\"\nmost-removed-percent = 0\n"), "from 1 to 100");
+        only(xds("path = \"x\"\nclutser = \"c\"\n"), "did you mean cluster?");
+        only("[[pool]]\nname = \"a\"\nsettings = \"a.json\"\ndiscovery = \"127.0.0.1:1\"\n[pool.xds]\npath = \"x\"\n"
+            + "[[route]]\npool = \"a\"\n", "discovery", "one source of servers");
+    }
 }
--- a/src/test/java/rushpin/membership/xds/SubscriptionTest.java
+++ b/src/test/java/rushpin/membership/xds/SubscriptionTest.java
@@ -221,4 +221,14 @@
         s.answered(whole(CDS, "1", "n1", any(eds("c"))));
         assertNull(client.cluster);
     }
+
+    @Test
+    void anotherServersVersionsAreNotTakenForItsOwn() {
+        Subscription s = subscription(Form.DELTA);
+        s.answered(change(CDS, "n1", List.of(), new Item("c", "5", any(eds("c")))));
+        s.closed();
+        s.opened(false);
+        assertEquals(Map.of(), client.last().initial());
+        assertNotNull(client.cluster, "what was had stays in force all the same");
+    }
 }
--- a/src/test/java/rushpin/node/XdsPoolTest.java
+++ b/src/test/java/rushpin/node/XdsPoolTest.java
@@ -7,6 +7,8 @@
 
 import com.google.protobuf.Any;
 import com.google.protobuf.ByteString;
+import com.google.protobuf.Struct;
+import com.google.protobuf.Value;
 import com.google.protobuf.util.JsonFormat;
 import io.envoyproxy.envoy.config.cluster.v3.Cluster;
 import io.envoyproxy.envoy.config.core.v3.Address;
@@ -14,11 +16,17 @@
 import io.envoyproxy.envoy.config.core.v3.ConfigSource;
 import io.envoyproxy.envoy.config.core.v3.HealthStatus;
 import io.envoyproxy.envoy.config.core.v3.Locality;
+import io.envoyproxy.envoy.config.core.v3.Metadata;
 import io.envoyproxy.envoy.config.core.v3.SocketAddress;
 import io.envoyproxy.envoy.config.endpoint.v3.ClusterLoadAssignment;
 import io.envoyproxy.envoy.config.endpoint.v3.Endpoint;
 import io.envoyproxy.envoy.config.endpoint.v3.LbEndpoint;
 import io.envoyproxy.envoy.config.endpoint.v3.LocalityLbEndpoints;
+import io.grpc.netty.GrpcSslContexts;
+import io.netty.handler.ssl.ClientAuth;
+import io.netty.handler.ssl.SslContextBuilder;
+import io.netty.pkitesting.CertificateBuilder;
+import io.netty.pkitesting.X509Bundle;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -72,7 +80,10 @@
     private static LbEndpoint endpoint(Peer of, HealthStatus health) {
         String address = of.address();
         int colon = address.lastIndexOf(':');
-        return LbEndpoint.newBuilder().setHealthStatus(health).setEndpoint(Endpoint.newBuilder().setAddress(Address.newBuilder()
+        // Warm: a server that is new to the list is cold, and has hardly anything for its ramp's time.
+        Struct warm = Struct.newBuilder().putFields("started_ms", Value.newBuilder().setNumberValue(0).build()).build();
+        return LbEndpoint.newBuilder().setHealthStatus(health).setMetadata(Metadata.newBuilder()
+            .putFilterMetadata("rushpin", warm)).setEndpoint(Endpoint.newBuilder().setAddress(Address.newBuilder()
             .setSocketAddress(SocketAddress.newBuilder().setAddress(address.substring(0, colon))
                 .setPortValue(Integer.parseInt(address.substring(colon + 1)))))).build();
     }
@@ -103,7 +114,9 @@
     /** Asks until the answer is the wanted one: a push takes its time, and no longer than the test's. */
     private void until(EdgeNode node, String wanted) throws Exception {
         String seen = "";
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
         for (int i = 0; !seen.equals(wanted); i++) {
+            assertTrue(System.nanoTime() < end, "after a minute it is still " + seen + " and not " + wanted);
             try (Socket client = client(node)) {
                 seen = body(client, "u-" + wanted + i);
             }
@@ -232,6 +245,55 @@
         until(node, "new");
     }
 
+    @Test
+    void twoServersThatDisagreeAreHeardOneAtATime() throws Exception {
+        Peer old = peer(m -> m.answer(Peer.ok("", "old")));
+        Peer fresh = peer(m -> m.answer(Peer.ok("", "new")));
+        management();
+        ManagementServer second = new ManagementServer();
+        toClose.add(second);
+        server.set("a", cluster("a"));
+        server.set("a", at(endpoint(old, HealthStatus.HEALTHY)));
+        second.set("a", cluster("a"));
+        second.set("a", at(endpoint(fresh, HealthStatus.HEALTHY)));
+        EdgeNode node = node("servers = [\"" + server.address() + "\", \"" + second.address() + "\"]\n");
+        until(node, "old");
+        assertEquals(0, second.streams(), "the second is not asked while the first answers");
+        server.kill();
+        until(node, "new");
+        second.kill();
+        server.again();
+        until(node, "old");
+    }
+
+    @Test
+    void aServerThatProvesItselfIsTrustedAndOneThatDoesNotIsNot() throws Exception {
+        X509Bundle ca = new CertificateBuilder().subject("CN=yard").setIsCertificateAuthority(true).buildSelfSigned();
+        X509Bundle own = new CertificateBuilder().subject("CN=localhost").addSanIpAddress("127.0.0.1").buildIssuedBy(ca);
+        X509Bundle node = new CertificateBuilder().subject("CN=node").buildIssuedBy(ca);
+        Files.writeString(folder.resolve("ca.pem"), ca.getCertificatePEM());
+        Files.writeString(folder.resolve("node.pem"), node.getCertificatePathPEM());
+        Files.writeString(folder.resolve("node.key"), node.getPrivateKeyPEM());
+        X509Bundle stranger = new CertificateBuilder().subject("CN=localhost").addSanIpAddress("127.0.0.1")
+            .setIsCertificateAuthority(true).buildSelfSigned();
+        Peer app = peer(m -> m.answer(Peer.ok("", "x")));
+        Peer lured = peer(m -> m.answer(Peer.ok("", "lured")));
+        ManagementServer imposter = new ManagementServer(GrpcSslContexts.configure(SslContextBuilder.forServer(
+            stranger.getKeyPair().getPrivate(), stranger.getCertificatePath())).build());
+        toClose.add(imposter);
+        imposter.set("a", cluster("a"));
+        imposter.set("a", at(endpoint(lured, HealthStatus.HEALTHY)));
+        server = new ManagementServer(GrpcSslContexts.configure(SslContextBuilder.forServer(own.getKeyPair().getPrivate(),
+            own.getCertificatePath())).trustManager(ca.getCertificate()).clientAuth(ClientAuth.REQUIRE).build());
+        toClose.add(server);
+        server.set("a", cluster("a"));
+        server.set("a", at(endpoint(app, HealthStatus.HEALTHY)));
+        EdgeNode edge = node("servers = [\"" + imposter.address() + "\", \"" + server.address() + "\"]\nca = \"ca.pem\"\n"
+            + "certificate = \"node.pem\"\nkey = \"node.key\"\n");
+        until(edge, "x");
+        assertTrue(lured.seen.isEmpty());
+    }
+
     private static String text(String form, ClusterLoadAssignment of) throws Exception {
         if (form.equals("json")) {
             JsonFormat.TypeRegistry types = JsonFormat.TypeRegistry.newBuilder().add(Cluster.getDescriptor())
@@ -252,7 +314,8 @@
               endpoints:
               - locality: {zone: a}
                 lb_endpoints:
-                - endpoint:
+                - metadata: {filter_metadata: {rushpin: {started_ms: 0}}}
+                  endpoint:
                     address:
                       socket_address: {address: 127.0.0.1, port_value: %d}
             """.formatted(address.getPortValue());
