--- a/src/main/java/rushpin/net/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -200,6 +200,10 @@
                 listening.pipeline().fireChannelRead(new NioSocketChannel(listening, next));
                 next = i < BACKLOG ? beside.accept() : null;
             }
+            if (beside != null) {
+                // At once, and not by way of the pipeline: each microsecond counts here.
+                beside.close();
+            }
         } catch (IOException e) {
             Trouble.report("the listening socket", e);
         }
--- a/src/test/java/rushpin/node/XdsPoolTest.java
+++ b/src/test/java/rushpin/node/XdsPoolTest.java
@@ -8,8 +8,10 @@
 import com.google.protobuf.Any;
 import com.google.protobuf.ByteString;
 import com.google.protobuf.Struct;
+import com.google.protobuf.UInt32Value;
 import com.google.protobuf.Value;
 import com.google.protobuf.util.JsonFormat;
+import io.envoyproxy.envoy.config.cluster.v3.CircuitBreakers;
 import io.envoyproxy.envoy.config.cluster.v3.Cluster;
 import io.envoyproxy.envoy.config.core.v3.Address;
 import io.envoyproxy.envoy.config.core.v3.AggregatedConfigSource;
@@ -22,6 +24,7 @@
 import io.envoyproxy.envoy.config.endpoint.v3.Endpoint;
 import io.envoyproxy.envoy.config.endpoint.v3.LbEndpoint;
 import io.envoyproxy.envoy.config.endpoint.v3.LocalityLbEndpoints;
+import io.envoyproxy.envoy.type.v3.FractionalPercent;
 import io.grpc.netty.GrpcSslContexts;
 import io.netty.handler.ssl.ClientAuth;
 import io.netty.handler.ssl.SslContextBuilder;
@@ -294,6 +297,97 @@
         assertTrue(lured.seen.isEmpty());
     }
 
+    @Test
+    void thePartThatIsToBeDroppedIsRefusedEvenly() throws Exception {
+        management();
+        Peer app = peer(m -> m.answer(Peer.ok("", "x")));
+        server.set("a", cluster("a"));
+        server.set("a", at(endpoint(app, HealthStatus.HEALTHY)));
+        EdgeNode node = node("delta", "");
+        until(node, "x");
+        reply(EDS);
+        server.set("a", at(endpoint(app, HealthStatus.HEALTHY)).toBuilder().setPolicy(ClusterLoadAssignment.Policy.newBuilder()
+            .addDropOverloads(ClusterLoadAssignment.Policy.DropOverload.newBuilder().setCategory("all").setDropPercentage(
+                FractionalPercent.newBuilder().setNumerator(25)))).build());
+        reply(EDS);
+        until(node, "429");
+        int dropped = 0;
+        for (int i = 0; i < 40; i++) {
+            try (Socket client = client(node)) {
+                dropped += body(client, "p-" + i).equals("x") ? 0 : 1;
+            }
+        }
+        assertEquals(10, dropped);
+    }
+
+    @Test
+    void theClustersBoundOnRequestsRefusesWhatIsBeyond() throws Exception {
+        management();
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        Peer app = peer(m -> {
+            if (m.headers().get("x-trace-id").equals("held")) {
+                go.join();
+            }
+            m.answer(Peer.ok("", "x"));
+        });
+        server.set("a", cluster("a").toBuilder().setCircuitBreakers(CircuitBreakers.newBuilder().addThresholds(
+            CircuitBreakers.Thresholds.newBuilder().setMaxRequests(UInt32Value.of(1)))).build());
+        server.set("a", at(endpoint(app, HealthStatus.HEALTHY)));
+        EdgeNode node = node("delta", "");
+        until(node, "x");
+        app.seen.clear();
+        Socket held = client(node);
+        order(held, "held");
+        app.next();
+        try (Socket client = client(node)) {
+            assertEquals("429", body(client, "beyond"));
+        }
+        go.complete(null);
+        assertEquals("200", status(Peer.read(held)));
+        until(node, "x");
+    }
+
+    /** The pool that had an address keeps it until it lets go; then the other one has it, with its own health. */
+    @Test
+    void anEndpointMovesFromOnePoolToAnother() throws Exception {
+        management();
+        Peer one = peer(m -> m.answer(Peer.ok("", "one"))), moving = peer(m -> m.answer(Peer.ok("", "moving")));
+        server.set("a", cluster("a"));
+        server.set("b", cluster("b"));
+        server.set("a", at(endpoint(moving, HealthStatus.HEALTHY)));
+        server.set("b", at(endpoint(one, HealthStatus.HEALTHY)).toBuilder().setClusterName("b").build());
+        Config config = Config.parse(config());
+        String pool = "[[pool]]\nname = \"%s\"\nsettings = \"platform\"\n[pool.xds]\nservers = [\"" + server.address()
+            + "\"]\n[[route]]\npool = \"%s\"\nhost = \"%s.svc\"\n";
+        EdgeNode node = new EdgeNode(config, OperatorFile.parse(pool.formatted("a", "a", "a") + pool.formatted("b", "b", "b"),
+            folder, config));
+        toClose.add(node);
+        node.start();
+        untilAt(node, "a.svc", "moving");
+        untilAt(node, "b.svc", "one");
+        server.set("b", at(endpoint(moving, HealthStatus.HEALTHY)).toBuilder().setClusterName("b").build());
+        untilAt(node, "b.svc", "429");
+        untilAt(node, "a.svc", "moving");
+        server.set("a", at(endpoint(one, HealthStatus.HEALTHY)));
+        untilAt(node, "b.svc", "moving");
+        untilAt(node, "a.svc", "one");
+    }
+
+    private void untilAt(EdgeNode node, String host, String wanted) throws Exception {
+        String seen = "";
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
+        for (int i = 0; !seen.equals(wanted); i++) {
+            assertTrue(System.nanoTime() < end, host + ": after a minute it is still " + seen + " and not " + wanted);
+            try (Socket client = client(node)) {
+                Map<String, String> headers = headers("h-" + host + wanted + i, "order", "20000");
+                headers.put("Host", host);
+                write(client, "POST /api", headers, "book");
+                Peer.Message answer = Peer.read(client);
+                seen = status(answer).equals("200") ? answer.body() : status(answer);
+            }
+        }
+    }
+
     private static String text(String form, ClusterLoadAssignment of) throws Exception {
         if (form.equals("json")) {
             JsonFormat.TypeRegistry types = JsonFormat.TypeRegistry.newBuilder().add(Cluster.getDescriptor())
