--- a/src/test/java/rushpin/node/XdsPoolTest.java
+++ b/src/test/java/rushpin/node/XdsPoolTest.java
@@ -34,6 +34,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -45,6 +47,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import rushpin.config.Config;
 import rushpin.config.OperatorFile;
+import rushpin.membership.Names;
+import rushpin.net.xds.LastGood;
 import rushpin.rig.ManagementServer;
 
 /** A pool whose servers a management server or a file tells, on real sockets. */
@@ -388,6 +392,44 @@
         }
     }
 
+    /** It says the same again and again without being asked: each is read in its turn, and the pool notices nothing. */
+    @ParameterizedTest
+    @ValueSource(strings = {"sotw", "delta"})
+    void aFloodThatNobodyAskedForDisturbsNobody(String form) throws Exception {
+        management();
+        Peer app = peer(m -> m.answer(Peer.ok("", "x")));
+        server.set("a", cluster("a"));
+        ClusterLoadAssignment world = at(endpoint(app, HealthStatus.HEALTHY));
+        server.set("a", world);
+        EdgeNode node = node(form, "");
+        until(node, "x");
+        for (int i = 0; i < 300; i++) {
+            server.say(EDS, Map.of("a", Any.pack(world)));
+            server.say("type.googleapis.com/no.such.Type", Map.of("a", Any.newBuilder().setTypeUrl("x/no.such.Type").build()));
+        }
+        for (int i = 0; i < 20; i++) {
+            try (Socket client = client(node)) {
+                assertEquals("x", body(client, "f-" + i));
+            }
+        }
+    }
+
+    @Test
+    void aTornListFromBeforeIsOneLineAndNoList() throws Exception {
+        Files.createDirectories(folder.resolve("state"));
+        List<String> said = new ArrayList<>();
+        Names names = new Names(List.of(), List.of(), List.of("a"), List.of());
+        LastGood kept = new LastGood(folder.resolve("state"), "a", names);
+        assertEquals(List.of(), kept.read(said::add), "none yet");
+        assertEquals(List.of(), said);
+        for (String torn : List.of("", "{\"revision\":0,\"members\":[{\"id\":\"s\"", "{}", "[1]", "{\"revision\":0,\"members\":[{}]}")) {
+            said.clear();
+            Files.writeString(folder.resolve("state/xds-a.json"), torn);
+            assertEquals(List.of(), kept.read(said::add), torn);
+            assertEquals(1, said.size(), torn);
+        }
+    }
+
     private static String text(String form, ClusterLoadAssignment of) throws Exception {
         if (form.equals("json")) {
             JsonFormat.TypeRegistry types = JsonFormat.TypeRegistry.newBuilder().add(Cluster.getDescriptor())
