--- a/src/main/java/rushpin/rig/XdsScenario.java
+++ b/src/main/java/rushpin/rig/XdsScenario.java
@@ -157,6 +157,7 @@
                     management.kill();
                 } else if (i == backAt) {
                     management.again();
+                    awaitNode();
                 } else if (i < killAt || i > backAt) {
                     change(i);
                 }
@@ -171,9 +172,7 @@
             Load.Stretch after = load.turn();
             load.rate(0);
             load.settle();
-            for (ManagementServer.Reply r = management.replies().poll(); r != null; r = management.replies().poll()) {
-                refused += r.error() == null ? 0 : 1;
-            }
+            countReplies();
             row("calm", calm, false);
             row("changes", rough, true);
             row("after", after, false);
@@ -181,6 +180,25 @@
             report.claim(form + ": after the last change all is served", after.ok > 0 && after.ok >= 0.99 * after.sent);
         }
 
+        private boolean countReplies() {
+            boolean any = false;
+            for (ManagementServer.Reply r = management.replies().poll(); r != null; r = management.replies().poll()) {
+                refused += r.error() == null ? 0 : 1;
+                any = true;
+            }
+            return any;
+        }
+
+        /** A change counts as told when it is written to the node: until that is back on a stream nothing is changed. */
+        private void awaitNode() throws InterruptedException {
+            countReplies();
+            long end = System.nanoTime() + 30_000 * MS;
+            while (!countReplies() && System.nanoTime() < end) {
+                Thread.sleep(5);
+            }
+            Thread.sleep(200);
+        }
+
         private void change(int number) {
             changes++;
             List<String> ids = new ArrayList<>(world.keySet());
