No class of xDS is loaded where no pool asks for it

The listener's interface was one such class. Seen: a start without an operator's file loads none (class loading log); the tests of pools pass.

--- a/src/main/java/rushpin/net/DiscoveryClient.java
+++ b/src/main/java/rushpin/net/DiscoveryClient.java
@@ -39,6 +39,16 @@
     public interface Listener {
         /** The whole list, or changes to it. */
         void list(Roll roll, ListKind kind);
+
+        /** Bounds that the source of the list gives: nanoseconds to connect, connections, requests; 0 for none. */
+        default void bounds(long connectTimeout, int mostConnections, int mostRequests) {
+            // Only some sources say so.
+        }
+
+        /** The part of requests that the source wants to be turned away, 0 to 1. */
+        default void dropped(double part) {
+            // Only some sources say so.
+        }
     }
 
     private final Listener node;
--- a/src/main/java/rushpin/net/xds/XdsSource.java
+++ b/src/main/java/rushpin/net/xds/XdsSource.java
@@ -34,17 +34,8 @@
     private static final long MS = 1_000_000L, FIRST_WAIT = 200 * MS, MOST_WAIT = 10_000 * MS, SILENT = 15_000 * MS;
     private static final long LOOK_MS = 500;
 
-    /** Hears the list, and what the cluster says of its own bounds. */
-    public interface Listener extends DiscoveryClient.Listener {
-        /** Bounds of the cluster; 0 for none. */
-        void bounds(long connectTimeout, int mostConnections, int mostRequests);
-
-        /** The part of requests that is to be turned away. */
-        void dropped(double part);
-    }
-
     private final XdsPlan plan;
-    private final Listener pool;
+    private final DiscoveryClient.Listener pool;
     private final EventLoop loop;
     private final String name;
     private final ClusterView view;
@@ -60,7 +51,7 @@
 
     /** Connects nowhere yet; {@code known} is the list as last known, {@code state} the folder that keeps it, or null. */
     public XdsSource(XdsPlan plan, String pool, Names names, List<Member> known, Path state, long seed, EventLoop loop,
-                     Listener listener) {
+                     DiscoveryClient.Listener listener) {
         this.plan = plan;
         this.pool = listener;
         this.loop = loop;
--- a/src/main/java/rushpin/node/Pool.java
+++ b/src/main/java/rushpin/node/Pool.java
@@ -39,7 +39,7 @@
  * the module and the module's actions back. All of it runs on one event loop thread, so nothing here is locked and
  * the module's contract of one caller holds.
  */
-final class Pool implements Ports.Actions, Service, ServerPool.Listener, XdsSource.Listener {
+final class Pool implements Ports.Actions, Service, ServerPool.Listener, DiscoveryClient.Listener {
     private static final long MS = 1_000_000L;
     /** So long before the client's deadline a request that the module has left unanswered is failed. */
     private static final long LAST_MOMENT = 6 * MS;
