A stream's buffers are let go before its threads end

Cause: at a pool's end the thread and the loop went while gRPC still held messages that had not been read; the leak detector told of it in the whole test run, after the test of a flood.

Change: the thread ends a second later, and the process's end waits up to 2 s for the channel.

Seen: the tests of pools by xDS and of leaks pass in one JVM.

--- a/src/main/java/rushpin/net/xds/GrpcStream.java
+++ b/src/main/java/rushpin/net/xds/GrpcStream.java
@@ -148,6 +148,11 @@
         return server;
     }
 
+    /** Whether its channel has ended and let go of all. */
+    boolean isTerminated() {
+        return channel.isTerminated();
+    }
+
     boolean hasAnswered() {
         return answered;
     }
--- a/src/main/java/rushpin/net/xds/XdsSource.java
+++ b/src/main/java/rushpin/net/xds/XdsSource.java
@@ -43,7 +43,7 @@
     private final Retry retry;
     private final LastGood lastGood;
     private final ScheduledExecutorService thread;
-    private GrpcStream stream;
+    private volatile GrpcStream stream;
     private InetSocketAddress lastAnswered;
     private double dropped;
     private boolean saving;
@@ -95,10 +95,25 @@
             if (stream != null) {
                 stream.close("the pool has ended");
             }
-            thread.shutdown();
+            // What the stream holds is released by tasks that are still to come here.
+            thread.schedule(thread::shutdown, 1, TimeUnit.SECONDS);
         });
     }
 
+    /** As {@link #close}, and waits up to 2 s until the stream has let go of all that it held; not for a loop. */
+    public void end() {
+        GrpcStream last = stream;
+        close();
+        long until = System.nanoTime() + 2_000 * MS;
+        try {
+            while (last != null && !last.isTerminated() && System.nanoTime() < until) {
+                Thread.sleep(2);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** A fault in one message or one look must not end what comes after it. */
     Runnable guarded(Runnable work) {
         return () -> {
--- a/src/main/java/rushpin/node/Pool.java
+++ b/src/main/java/rushpin/node/Pool.java
@@ -173,7 +173,7 @@
     /** The process ends: nothing more is heard of servers. */
     void close() {
         if (xds != null) {
-            xds.close();
+            xds.end();
         }
     }
 
