--- a/src/test/java/rushpin/node/XdsPoolTest.java
+++ b/src/test/java/rushpin/node/XdsPoolTest.java
@@ -30,7 +30,10 @@
 import io.netty.handler.ssl.SslContextBuilder;
 import io.netty.pkitesting.CertificateBuilder;
 import io.netty.pkitesting.X509Bundle;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -400,9 +403,22 @@
         server.set("a", cluster("a"));
         server.set("a", at(endpoint(app, HealthStatus.HEALTHY)));
         Files.writeString(folder.resolve("ca.pem"), "half a file");
-        EdgeNode node = node("delta", "ca = \"ca.pem\"\n");
-        replace(folder.resolve("ca.pem"), ca.getCertificatePEM());
-        until(node, "x");
+        PrintStream before = System.out;
+        ByteArrayOutputStream said = new ByteArrayOutputStream();
+        System.setOut(new PrintStream(said, true, StandardCharsets.UTF_8));
+        try {
+            EdgeNode node = node("delta", "ca = \"ca.pem\"\n");
+            // Not before it has been read once as it is: else nothing is shown.
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
+            while (!said.toString(StandardCharsets.UTF_8).contains("cannot be asked")) {
+                assertTrue(System.nanoTime() < end, "a minute has passed: " + said.toString(StandardCharsets.UTF_8));
+                Thread.sleep(10);
+            }
+            replace(folder.resolve("ca.pem"), ca.getCertificatePEM());
+            until(node, "x");
+        } finally {
+            System.setOut(before);
+        }
     }
 
     /** It says the same again and again without being asked: each is read in its turn, and the pool notices nothing. */
