Operators' console: figures, servers out by hand, a process replaced while it serves

Need: operators call the node at an address of their own, take servers out by hand, and replace the program while it serves. Until now a second process ended at once as the address was taken, and nothing answered the console.

Change: room console (line server on its own thread, statsd figures, the folder that processes of one node share, locks that tell how many they are); membership.Withheld decides without I/O who drains by hand; the module halves what a ceiling gives while two processes act as one gateway. Where a console is configured the node listens with SO_REUSEPORT; without one nothing of this is loaded. Not taken: one file of all who are out (two processes would undo each other), a word in the module for it (what the list says is enough), a socket between the processes.

--- a/src/main/java/rushpin/cli/Main.java
+++ b/src/main/java/rushpin/cli/Main.java
@@ -2,6 +2,7 @@
 
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.net.SocketAddress;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
@@ -10,6 +11,8 @@
 import rushpin.config.Operator;
 import rushpin.config.OperatorFile;
 import rushpin.drill.Drill;
+import rushpin.node.Console;
+import rushpin.node.Desk;
 import rushpin.node.EdgeNode;
 import rushpin.node.Rehearsal;
 
@@ -79,20 +82,29 @@
         try {
             Path path = Path.of(file);
             AtomicReference<EdgeNode> serving = new AtomicReference<>();
-            onHangup(() -> reload(serving.get(), path, operator));
+            AtomicReference<Desk> desk = new AtomicReference<>();
+            onHangup(() -> reload(serving.get(), path, operator, desk.get()));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(serving.get()), "stop"));
             String folder = System.getenv().getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"));
+            Config first = Config.read(path);
+            SocketAddress console = Config.console(first, System.getenv("GW_CONSOLE"));
+            if (console != null) {
+                desk.set(Desk.in(Path.of(folder).resolve("rushpin")));
+                // Operators are answered from the start on, though it be that nothing is ready.
+                new Console(console, desk.get(), serving::get);
+            }
             if (operator != null) {
                 // A fault is told before the rehearsal, not after it.
-                OperatorFile.read(operator, Config.read(path));
+                OperatorFile.read(operator, first);
             }
             long begun = System.nanoTime();
-            int rehearsed = Rehearsal.hold(Config.read(path), REHEARSED, REHEARSAL_MS, Path.of(folder));
+            int rehearsed = Rehearsal.hold(first, REHEARSED, REHEARSAL_MS, Path.of(folder));
             System.out.println("rehearsed with " + rehearsed + " requests in "
                 + (System.nanoTime() - begun) / 1_000_000 + " ms");
             // The file is read again: a signal may have come meanwhile.
             Config config = Config.read(path);
-            EdgeNode node = new EdgeNode(config, operator == null ? null : OperatorFile.read(operator, config));
+            EdgeNode node = new EdgeNode(config, operator == null ? null : OperatorFile.read(operator, config),
+                desk.get());
             serving.set(node);
             node.start();
             System.out.println("serving on " + node.address());
@@ -115,7 +127,7 @@
     }
 
     /** A file that cannot be used costs one line; the settings that the node has stay as they are. */
-    private static void reload(EdgeNode node, Path file, Path operator) {
+    private static void reload(EdgeNode node, Path file, Path operator, Desk desk) {
         if (node == null) {
             // The file will be read when the node is made.
             return;
@@ -126,8 +138,14 @@
                 Config config = Config.read(file);
                 node.reload(config, operator == null ? null : OperatorFile.read(operator, config));
             }
+            if (desk != null) {
+                desk.configured(true);
+            }
             System.out.println("configuration read again");
         } catch (Exception e) {
+            if (desk != null) {
+                desk.configured(false);
+            }
             System.err.println("the configuration stays as it was: " + e.getMessage());
         }
     }
--- a/src/main/java/rushpin/config/Config.java
+++ b/src/main/java/rushpin/config/Config.java
@@ -29,10 +29,19 @@
  * @param connectTimeout span after which a connection counts as not made
  * @param keepAlive span after which an app server closes an idle connection
  * @param names the names that stand for the settings' indices
+ * @param console where operators call; null where nobody does
  */
 public record Config(String name, SocketAddress listen, SocketAddress discovery, SocketAddress counter, long seed, int sockets,
               long memory, Roll known, long connectTimeout, long keepAlive, Names names,
-              Settings settings) {
+              Settings settings, SocketAddress console) {
+
+    /** A configuration of a node that no operator calls. */
+    public Config(String name, SocketAddress listen, SocketAddress discovery, SocketAddress counter, long seed,
+                  int sockets, long memory, Roll known, long connectTimeout, long keepAlive, Names names,
+                  Settings settings) {
+        this(name, listen, discovery, counter, seed, sockets, memory, known, connectTimeout, keepAlive, names, settings,
+            null);
+    }
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -140,7 +149,7 @@
             root.path("limits").path("sockets").asInt(256), root.path("limits").path("memory_mb").asLong(64) << 20,
             root.hasNonNull("known") ? RollReader.read(root.get("known"), names) : new Roll(0, true, List.of()),
             (long) number(pairs, "caps.connect-timeout-ns"), (long) number(pairs, "caps.keepalive-ns"),
-            names, read);
+            names, read, pool ? null : addressOf(root, "console", true));
     }
 
     /** Figures that may be left out, and must be figures where they stand. */
@@ -157,6 +166,18 @@
         return keys;
     }
 
+    /** Where operators call: what the environment says goes before the file; null where neither says anything. */
+    public static SocketAddress console(Config file, String environment) throws Invalid {
+        if (environment == null || environment.isBlank()) {
+            return file.console();
+        }
+        try {
+            return RollReader.address(JSON.createObjectNode().put("GW_CONSOLE", environment), "GW_CONSOLE");
+        } catch (RollReader.Malformed e) {
+            throw new Invalid(e.getMessage());
+        }
+    }
+
     private static SocketAddress addressOf(JsonNode root, String key, boolean mayLack) throws RollReader.Malformed {
         return mayLack && !root.hasNonNull(key) ? null : RollReader.address(root, key);
     }
--- a/src/main/java/rushpin/gateway/Gateway.java
+++ b/src/main/java/rushpin/gateway/Gateway.java
@@ -63,7 +63,7 @@
     private final Backend[] lastHeard = new Backend[RECENT];
     private final Lane[] lanes;
     private final Control control;
-    private int inFlight, heardCount;
+    private int inFlight, heardCount, processes = 1;
     private double retryTokens = RETRY_MOST, virtualTime, sentWork, usualStake, usualLoad;
     private boolean silent, denied;
     private final double callStart;
@@ -291,6 +291,20 @@
         if (customer.shared) { active.add(customer); }
     }
 
+    @Override public void processes(long at, int count) {
+        now = at;
+        // What came in until now was each process's own.
+        customers.values().forEach(Customer::refill);
+        processes = Math.max(1, count);
+    }
+
+    /** How many listed servers are avoided for their failures. */
+    public int shunned() {
+        int count = 0;
+        for (Backend b : listed) { count += b.shunned ? 1 : 0; }
+        return count;
+    }
+
     @Override public void clock(long at, long ahead) {
         now = at;
         shift = ahead;
@@ -345,7 +359,8 @@
                 deaf ? plan.rate() : othersRate);
             foreseen += others;
             store = Math.min(plan.burst(), store + s * plan.rate() - others);
-            ceiling = Math.min(plan.ceilingBurst() / gateways, ceiling + s * plan.ceilingRate() / gateways);
+            double parts = gateways * processes;
+            ceiling = Math.min(plan.ceilingBurst() / parts, ceiling + s * plan.ceilingRate() / parts);
         }
 
         /** Whether this says no more than nothing does: customers are ever new, and many come only once. */
@@ -354,7 +369,7 @@
             if (jobs + asked > 0 || idle < 2 * span + REMEMBER || active.contains(this)) { return false; }
             refill();
             boolean full = idle * NANO * plan.rate() >= plan.burst()
-                && ceiling >= plan.ceilingBurst() / gateways;
+                && ceiling >= plan.ceilingBurst() / (gateways * processes);
             if (full) { drop(); }
             return full;
         }
--- a/src/main/java/rushpin/gateway/Ports.java
+++ b/src/main/java/rushpin/gateway/Ports.java
@@ -229,6 +229,12 @@
         /** Units that this gateway took before it was killed, and that the counter was not told of. */
         void restore(long now, long customer, int plan, int setSize, double units);
 
+        /**
+         * So many processes act as this gateway, this one among them: for as long as one replaces another. What a
+         * customer's ceiling gives this gateway is then dealt out to them.
+         */
+        void processes(long now, int count);
+
         /** The machines' clock has been set: it is so far ahead of this node's, in nanoseconds; below 0 if behind. */
         void clock(long now, long ahead);
     }
--- a/src/main/java/rushpin/lifecycle/Lifecycle.java
+++ b/src/main/java/rushpin/lifecycle/Lifecycle.java
@@ -49,8 +49,8 @@
     }
 
     private final Bounds bounds;
-    private final boolean shared;
     private final Port port;
+    private boolean shared;
     private State state = State.STARTING;
     private long since;
     private boolean closed;
@@ -63,6 +63,11 @@
         since = now;
     }
 
+    /** From now on its listening socket is another's too, or is so no more. */
+    public void shared(boolean now) {
+        shared = now;
+    }
+
     /** What it is doing. */
     public State state() {
         return state;
--- a/src/main/java/rushpin/membership/Member.java
+++ b/src/main/java/rushpin/membership/Member.java
@@ -11,6 +11,17 @@
         return server.readiness() == Readiness.READY;
     }
 
+    /** Whether it is listed no more. */
+    public boolean isGone() {
+        return server.readiness() == Readiness.GONE;
+    }
+
+    /** The same server, which finishes what it has and gets nothing new. */
+    public Member draining() {
+        return new Member(new Server(server.id(), server.size(), server.zone(), server.cell(), server.kind(),
+            Readiness.DRAINING, server.startedAt()), address);
+    }
+
     /** The same server with another start; 0 for long ago, else nanoseconds by this node's clock. */
     public Member startedAt(long at) {
         return new Member(new Server(server.id(), server.size(), server.zone(), server.cell(), server.kind(),
--- a/src/main/java/rushpin/net/OpenRequest.java
+++ b/src/main/java/rushpin/net/OpenRequest.java
@@ -26,6 +26,7 @@
     final String uri;
     final String key;
     final String host;
+    private final String className;
     private Request request;
     private final ByteBuf body;
     private final Answers answers;
@@ -35,9 +36,10 @@
     private Future<?> overdue;
 
     /** Takes over the body; {@code host} as the client named it. */
-    OpenRequest(Request request, HttpMethod method, String uri, String key, String host, ByteBuf body,
+    OpenRequest(Request request, String className, HttpMethod method, String uri, String key, String host, ByteBuf body,
                 Answers answers) {
         this.request = request;
+        this.className = className;
         this.method = method;
         this.uri = uri;
         this.key = key;
@@ -51,6 +53,11 @@
         return request;
     }
 
+    /** What its class is called. */
+    public String className() {
+        return className;
+    }
+
     /** It came earlier than was thought, by so many nanoseconds: its client waits for that much less. */
     public void hurry(long by) {
         if (by > 0) {
--- a/src/main/java/rushpin/net/RequestReader.java
+++ b/src/main/java/rushpin/net/RequestReader.java
@@ -56,7 +56,7 @@
             (int) whole(quota.get("spread"), "X-Quota spread", 1, siblings),
             (int) whole(quota.get("first"), "X-Quota first", 0, siblings - 1L),
             "1".equals(headers.get("X-Second-Try")));
-        return new OpenRequest(request, method, head.uri(), key, way.host(), body, answers);
+        return new OpenRequest(request, names.classes().get(requestClass), method, head.uri(), key, way.host(), body, answers);
     }
 
     /** A header that stands once at most; null if it does not stand there. */
--- a/src/main/java/rushpin/net/ServerPool.java
+++ b/src/main/java/rushpin/net/ServerPool.java
@@ -44,6 +44,11 @@
     public interface Listener {
         /** An attempt ended; {@code body} is an app server's whole 200 answer, and stays the caller's. */
         void attemptEnded(OpenRequest of, Outcome outcome, long took, String server, double units, ByteBuf body);
+
+        /** An attempt was written whole to an app server. */
+        default void attemptWritten(OpenRequest of) {
+            // Only who reports of it wants to know.
+        }
     }
 
     /** How many connections the pool may hold and make at a time; called on its loop. */
@@ -371,7 +376,9 @@
             next.on = this;
             channel.writeAndFlush(next.message()).addListener(done -> {
                 next.written = done.isSuccess();
-                if (!done.isSuccess()) {
+                if (done.isSuccess()) {
+                    node.attemptWritten(next.of);
+                } else {
                     channel.close();
                     next.broke();
                 }
--- /dev/null
+++ b/src/main/java/rushpin/node/Console.java
@@ -0,0 +1,52 @@
+package rushpin.node;
+
+import java.net.SocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import rushpin.console.ConsoleServer;
+
+/** What operators may say to a process, from its start on, and what they hear. */
+public final class Console implements ConsoleServer.Calls, AutoCloseable {
+    private static final String DONE = "done\n";
+
+    private final Desk desk;
+    private final Supplier<EdgeNode> node;
+    private final ConsoleServer server;
+
+    /** Listens from now on; {@code node} gives null for as long as there is none. */
+    public Console(SocketAddress at, Desk desk, Supplier<EdgeNode> node) throws InterruptedException {
+        this.desk = desk;
+        this.node = node;
+        server = new ConsoleServer(at, this);
+    }
+
+    /** Where it listens. */
+    public SocketAddress address() {
+        return server.address();
+    }
+
+    @Override
+    public CompletionStage<String> call(String line) {
+        String[] words = line.split("\\s+");
+        EdgeNode serving = node.get();
+        return switch (words.length + words[0]) {
+            case "1READY" -> (serving == null ? CompletableFuture.completedFuture(false) : serving.takesClients())
+                .thenApply(ready -> ready ? DONE : "error not yet, or no more\n");
+            case "1STATS" -> CompletableFuture.completedFuture(desk.counts().lines() + "end\n");
+            case "2DISABLE" -> withhold(serving, words[1], true);
+            case "2ENABLE" -> withhold(serving, words[1], false);
+            default -> CompletableFuture.completedFuture("error no such call; there are READY, STATS, DISABLE ID, ENABLE ID\n");
+        };
+    }
+
+    private static CompletionStage<String> withhold(EdgeNode serving, String id, boolean out) {
+        return serving == null ? CompletableFuture.completedFuture("error not yet: nothing is listed\n")
+            : serving.withhold(id, out).thenApply(known -> known ? DONE : "error no app server of that id was listed\n");
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+}
--- a/src/main/java/rushpin/node/EdgeNode.java
+++ b/src/main/java/rushpin/node/EdgeNode.java
@@ -25,6 +25,8 @@
     private static final long DRAIN_GRACE = 600 * MS;
     /** No request is open longer than its client waits; what is left after this hangs. */
     private static final long DRAIN_MOST = 60_000 * MS;
+    /** How long a start waits for its first list where clients come as soon as it listens. */
+    private static final long HEAR = 1_500 * MS;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -33,6 +35,8 @@
     private final Services services;
     private final Operator.Listener listener;
     private final Lifecycle lifecycle;
+    /** Where operators' calls end; null where there is no console. */
+    private final Desk desk;
     private final CompletableFuture<Integer> drained = new CompletableFuture<>();
 
     /** A node with the platform's one pool; opens nothing yet. */
@@ -47,12 +51,24 @@
 
     /** As above, by a clock of one's own. */
     EdgeNode(Config config, Operator operator, Clock clock) {
+        this(config, operator, clock, null);
+    }
+
+    /** As above, with what operators' calls go to; null for none. */
+    public EdgeNode(Config config, Operator operator, Desk desk) {
+        this(config, operator, new Clock(), desk);
+    }
+
+    private EdgeNode(Config config, Operator operator, Clock clock, Desk desk) {
         this.clock = clock;
+        this.desk = desk;
         ByteBudget bytes = new ByteBudget(operator == null ? config.memory() : config.memory() / 2);
         clients = new ClientServer(this, loop, config.listen(), config.sockets(), bytes, operator != null);
-        services = operator == null ? new PlatformService(config, loop, clock, bytes)
+        services = operator == null ? new PlatformService(config, loop, clock, bytes, desk)
             : new PooledServices(operator, config.name(), loop, clock, clients::forget);
-        listener = operator == null ? Operator.Listener.OWN : operator.listener();
+        // Who gives a node a console replaces its process while it serves.
+        listener = operator != null ? operator.listener()
+            : desk == null ? Operator.Listener.OWN : Operator.Listener.REUSEPORT;
         lifecycle = new Lifecycle(new Lifecycle.Bounds(DRAIN_GRACE, DRAIN_MOST), listener != Operator.Listener.OWN, this,
             now());
     }
@@ -60,6 +76,13 @@
     /** Begins to serve; returns when it listens. */
     public void start() throws Exception {
         services.start();
+        if (desk != null) {
+            // Clients come at once beside another process: the list is heard first, or has been silent for long.
+            for (long end = System.nanoTime() + HEAR; !services.ready() && System.nanoTime() - end < 0;) {
+                Thread.sleep(5);
+            }
+            desk.beside().serve();
+        }
         switch (listener) {
             case OWN -> clients.bind().get();
             case REUSEPORT -> clients.bindBeside().get();
@@ -100,10 +123,26 @@
 
     /** Answers all that was taken; completes at the end of that with how many connections were cut. */
     public CompletableFuture<Integer> drain() {
-        loop.execute(() -> lifecycle.terminate(now(), clients.open()));
+        loop.execute(() -> {
+            if (desk != null) {
+                // Alone, it goes on taking those who still come for a moment; else they are the other process's.
+                lifecycle.shared(desk.others() > 0);
+            }
+            lifecycle.terminate(now(), clients.open());
+        });
         return drained;
     }
 
+    /** Whether it takes clients now; completes on the loop that knows. */
+    CompletableFuture<Boolean> takesClients() {
+        return CompletableFuture.supplyAsync(this::ready, loop);
+    }
+
+    /** Takes an app server out, or puts it back; see {@link Services#withhold}. */
+    CompletableFuture<Boolean> withhold(String id, boolean out) {
+        return services.withhold(id, out);
+    }
+
     @Override
     public void closeAfterAnswers() {
         clients.closeAfterAnswers();
@@ -133,6 +172,9 @@
     public void close() {
         services.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        if (desk != null) {
+            desk.close();
+        }
     }
 
     @Override
--- a/src/main/java/rushpin/node/PlatformService.java
+++ b/src/main/java/rushpin/node/PlatformService.java
@@ -3,6 +3,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
 import rushpin.config.Config;
 import rushpin.config.Operator;
 import rushpin.config.PoolPlan;
@@ -16,9 +18,12 @@
     private final Pool pool;
     private final Front.Way way;
 
-    PlatformService(Config config, EventLoop loop, Clock clock, ByteBudget bytes) {
+    PlatformService(Config config, EventLoop loop, Clock clock, ByteBudget bytes, Desk desk) {
         this.loop = loop;
         pool = new Pool(PoolPlan.platform(config), loop, clock, Budgets.whole(config.sockets(), bytes), null);
+        if (desk != null) {
+            pool.serveDesk(desk);
+        }
         way = new Front.Way(pool, null);
     }
 
@@ -47,6 +52,19 @@
         loop.execute(() -> pool.move(PoolPlan.platform(changed)));
     }
 
+    @Override
+    public CompletableFuture<Boolean> withhold(String id, boolean out) {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                done.complete(pool.withhold(id, out));
+            } catch (IOException e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return done;
+    }
+
     @Override
     public void close() {
         // All of it lives on the listening side's loop.
--- a/src/main/java/rushpin/node/Pool.java
+++ b/src/main/java/rushpin/node/Pool.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -23,6 +24,7 @@
 import rushpin.membership.Names;
 import rushpin.membership.Roll;
 import rushpin.membership.Starts;
+import rushpin.membership.Withheld;
 import rushpin.net.CounterClient;
 import rushpin.net.DiscoveryClient;
 import rushpin.net.OpenRequest;
@@ -45,6 +47,8 @@
     private static final long LAST_MOMENT = 6 * MS;
     /** How often the state folder is looked through for what ended processes have left, and the machine's clock is read. */
     private static final long ADOPT = 1_000 * MS;
+    /** How often what other processes of this node wrote down is read: a server taken out there binds here in 1 s. */
+    private static final long DESK = 200 * MS;
     /** A drain binds 1 s after it was told: whoever stood still for nearly so long has to hear of it first. */
     private static final long STALL = 700 * MS;
     /** What came during a stall is read in a pass or two of the loop. */
@@ -61,6 +65,11 @@
     private final CounterClient counter;
     private final DiscoveryClient discovery;
     private Gateway gateway;
+    /** What operators' calls go to, and who is out by them; null for none. */
+    private Desk desk;
+    private Withheld withheld;
+    private int processes = 1;
+    private long deskDue;
     /** In place of discovery; null for none. */
     private XdsSource xds;
     private double dropped, dropDebt;
@@ -91,6 +100,44 @@
         discovery = plan.upstream().discovery() == null ? null : new DiscoveryClient(this, loop, plan.upstream());
     }
 
+    /** Reports to a desk, and keeps to what operators say there; before the start. */
+    void serveDesk(Desk with) {
+        desk = with;
+        withheld = new Withheld();
+        names().classes().forEach(desk.counts()::of);
+    }
+
+    /** Takes a server out, or puts it back; false if none of that id was ever listed. Nothing changes if it throws. */
+    boolean withhold(String id, boolean out) throws IOException {
+        if (!withheld.knows(id)) {
+            return false;
+        }
+        desk.out().set(id, out);
+        followDesk();
+        return true;
+    }
+
+    /** What other processes of this node have written down, and how many there are. */
+    private void followDesk() {
+        try {
+            Roll changes = withheld.set(desk.out().read());
+            if (!changes.members().isEmpty()) {
+                changes.members().forEach(m -> log((m.isReady() ? "put back by hand: " : "taken out by hand: ")
+                    + m.server().id()));
+                tell(changes, ListKind.DELTA);
+            }
+        } catch (IOException e) {
+            Trouble.report("the folder of servers out of service", e);
+        }
+        int now = 1 + desk.others();
+        if (now != processes) {
+            log(now == 1 ? "alone again" : now + " processes act as this node");
+            processes = now;
+            event(null, at -> gateway.processes(at, now));
+        }
+        desk.counts().servers(withheld.listed(), withheld.out() + gateway.shunned());
+    }
+
     /** Begins with the list as last known; called on the loop. */
     void start(Roll known) {
         start(known, null, "");
@@ -111,6 +158,9 @@
             startXds(known, state);
             return;
         }
+        if (desk != null) {
+            followDesk();
+        }
         apply(known, ListKind.CACHED);
         if (discovery != null) {
             discovery.start(plan.known().revision());
@@ -281,11 +331,16 @@
     void apply(Roll roll, ListKind kind) {
         if (!closed) {
             followClock();
-            List<Server> told = servers.update(starts.carry(roll, kind != ListKind.DELTA, ahead), kind != ListKind.DELTA);
-            event(null, now -> gateway.list(now, kind, told));
+            Roll carried = starts.carry(roll, kind != ListKind.DELTA, ahead);
+            tell(withheld == null ? carried : withheld.follow(carried, kind != ListKind.DELTA), kind);
         }
     }
 
+    private void tell(Roll roll, ListKind kind) {
+        List<Server> told = servers.update(roll, kind != ListKind.DELTA);
+        event(null, now -> gateway.list(now, kind, told));
+    }
+
     /** The machines' clock may be set while the node runs. */
     private void followClock() {
         long by = clock.ahead();
@@ -300,6 +355,9 @@
     public void take(OpenRequest taken) {
         if (closed || mostOpen > 0 && open.size() >= mostOpen || dropped > 0 && drops() || !budgets.take(taken)) {
             // Nothing was sent for it, and its pool is full or has just gone: to come again is harmless.
+            if (desk != null) {
+                desk.of(taken).refused();
+            }
             taken.answerOnce().refused(Budgets.COME_BACK);
             taken.settle();
             return;
@@ -310,6 +368,9 @@
             taken.settle();
             return;
         }
+        if (desk != null) {
+            desk.counts().open(1);
+        }
         // Read after a stall, it may have waited for as long as that.
         taken.hurry(stalls.age(now()));
         long left = lastMoment(taken) - now();
@@ -332,6 +393,9 @@
     @Override
     public void clientGone(OpenRequest gone) {
         if (gone.answerOnce() != null) {
+            if (desk != null) {
+                desk.counts().open(-1);
+            }
             settle(gone);
             event(gone, now -> gateway.clientGone(now, gone.request().id()));
         }
@@ -347,6 +411,10 @@
         } else if (outcome == Outcome.OK) {
             OpenRequest.Answers answers = of.answerOnce();
             if (answers != null) {
+                if (desk != null) {
+                    desk.counts().open(-1);
+                    desk.of(of).served();
+                }
                 answers.served(body);
             }
         }
@@ -356,6 +424,13 @@
         settle(of);
     }
 
+    @Override
+    public void attemptWritten(OpenRequest of) {
+        if (desk != null) {
+            desk.of(of).tried();
+        }
+    }
+
     private void counted(long name, Outcome outcome, double total) {
         ArrayDeque<Telling> line = use == null ? null : tellings.get(name);
         Telling told = line == null ? null : line.poll();
@@ -409,6 +484,10 @@
         OpenRequest of = open.get(id);
         OpenRequest.Answers answers = of == null ? null : of.answerOnce();
         if (answers != null) {
+            if (desk != null) {
+                desk.counts().open(-1);
+                desk.of(of).refused();
+            }
             answers.refused(retryAfter);
             settle(of);
         }
@@ -425,6 +504,10 @@
     private void fail(OpenRequest of) {
         OpenRequest.Answers answers = of.answerOnce();
         if (answers != null) {
+            if (desk != null) {
+                desk.counts().open(-1);
+                desk.of(of).failed();
+            }
             answers.failed();
             settle(of);
         }
@@ -467,6 +550,10 @@
             clockDue = now() + ADOPT;
             followClock();
         }
+        if (desk != null && now() >= deskDue) {
+            deskDue = now() + DESK;
+            followDesk();
+        }
         event(null, now -> gateway.timer(now, token));
     }
 
--- a/src/main/java/rushpin/node/Services.java
+++ b/src/main/java/rushpin/node/Services.java
@@ -1,6 +1,7 @@
 package rushpin.node;
 
 import io.netty.handler.codec.http.HttpRequest;
+import java.util.concurrent.CompletableFuture;
 import rushpin.config.Config;
 import rushpin.config.Operator;
 import rushpin.net.Front;
@@ -20,6 +21,14 @@
     /** Goes over to new settings, checked whole; {@code operator} is null where there is no such file. */
     void reload(Config changed, Operator operator);
 
+    /**
+     * Takes an app server out, or puts it back. Completes with false if none of that id was ever listed, and
+     * exceptionally if it could not be written down, or there is no desk to keep it at; nothing has changed then.
+     */
+    default CompletableFuture<Boolean> withhold(String id, boolean out) {
+        return CompletableFuture.failedFuture(new UnsupportedOperationException("not with an operator's file"));
+    }
+
     /** Ends all that is not on the listening side's loop. */
     void close();
 }
--- a/src/test/java/rushpin/ArchitectureTest.java
+++ b/src/test/java/rushpin/ArchitectureTest.java
@@ -25,12 +25,13 @@
         ROOMS.put("route", List.of());
         ROOMS.put("budget", List.of());
         ROOMS.put("lifecycle", List.of());
+        ROOMS.put("console", List.of());
         ROOMS.put("quota", List.of("gateway"));
         ROOMS.put("membership", List.of("gateway"));
         ROOMS.put("net", List.of("gateway", "membership", "budget"));
         ROOMS.put("config", List.of("gateway", "membership", "route", "net"));
         ROOMS.put("node", List.of("gateway", "membership", "route", "budget", "net", "config", "quota",
-            "lifecycle"));
+            "lifecycle", "console"));
         ROOMS.put("rig", List.of());
         ROOMS.put("cli", List.of("drill", "config", "node", "rig"));
     }
