Classes and limits are taken again at SIGHUP; what is open keeps its rules

Need: settings differ at SIGHUP: classes come and go, one may change its effect, attempts may become fewer. Until now all but addresses waited for the next start, and requests of a new class were answered 400.

Change: the module goes over to new lanes; each request keeps the class and the attempts that held when it came; a dropped class is served by its old rules for one deadline more, then ends with its last request. A file is turned down whole that is cut short, lacks a key that the running one has, or has a deadline or attempts that is no positive number; both are counted. Not taken: a new module in place of the old, which forgets ceilings, stores and who is cold.

--- a/src/main/java/rushpin/cli/Main.java
+++ b/src/main/java/rushpin/cli/Main.java
@@ -83,7 +83,8 @@
             Path path = Path.of(file);
             AtomicReference<EdgeNode> serving = new AtomicReference<>();
             AtomicReference<Desk> desk = new AtomicReference<>();
-            onHangup(() -> reload(serving.get(), path, operator, desk.get()));
+            AtomicReference<Config> running = new AtomicReference<>();
+            onHangup(() -> reload(serving.get(), path, operator, desk.get(), running));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(serving.get()), "stop"));
             String folder = System.getenv().getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"));
             Config first = Config.read(path);
@@ -105,6 +106,7 @@
             Config config = Config.read(path);
             EdgeNode node = new EdgeNode(config, operator == null ? null : OperatorFile.read(operator, config),
                 desk.get());
+            running.set(config);
             serving.set(node);
             node.start();
             System.out.println("serving on " + node.address());
@@ -127,7 +129,7 @@
     }
 
     /** A file that cannot be used costs one line; the settings that the node has stay as they are. */
-    private static void reload(EdgeNode node, Path file, Path operator, Desk desk) {
+    private static void reload(EdgeNode node, Path file, Path operator, Desk desk, AtomicReference<Config> running) {
         if (node == null) {
             // The file will be read when the node is made.
             return;
@@ -135,8 +137,9 @@
         try {
             // One at a time: signals may follow each other faster than the file is read.
             synchronized (node) {
-                Config config = Config.read(file);
+                Config config = Config.readAgain(file, running.get());
                 node.reload(config, operator == null ? null : OperatorFile.read(operator, config));
+                running.set(config);
             }
             if (desk != null) {
                 desk.configured(true);
--- a/src/main/java/rushpin/config/Config.java
+++ b/src/main/java/rushpin/config/Config.java
@@ -9,8 +9,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import rushpin.gateway.Ports.Settings;
 import rushpin.gateway.SettingsReader;
 import rushpin.membership.Names;
@@ -30,17 +33,18 @@
  * @param keepAlive span after which an app server closes an idle connection
  * @param names the names that stand for the settings' indices
  * @param console where operators call; null where nobody does
+ * @param keys the keys that the file has, at its top and in the settings' tables
  */
 public record Config(String name, SocketAddress listen, SocketAddress discovery, SocketAddress counter, long seed, int sockets,
               long memory, Roll known, long connectTimeout, long keepAlive, Names names,
-              Settings settings, SocketAddress console) {
+              Settings settings, SocketAddress console, Set<String> keys) {
 
     /** A configuration of a node that no operator calls. */
     public Config(String name, SocketAddress listen, SocketAddress discovery, SocketAddress counter, long seed,
                   int sockets, long memory, Roll known, long connectTimeout, long keepAlive, Names names,
                   Settings settings) {
         this(name, listen, discovery, counter, seed, sockets, memory, known, connectTimeout, keepAlive, names, settings,
-            null);
+            null, Set.of());
     }
 
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -60,6 +64,34 @@
         return parse(text(file), false);
     }
 
+    /**
+     * Reads the file again. Beside its own faults, one that lacks a key which it had is taken for a part of a file: a
+     * default in that key's place would be nobody's choice.
+     */
+    public static Config readAgain(Path file, Config running) throws Invalid {
+        Config read = read(file);
+        Set<String> missing = new TreeSet<>(running.keys());
+        missing.removeAll(read.keys());
+        if (!missing.isEmpty()) {
+            throw new Invalid(String.join(", ", missing) + (missing.size() == 1 ? " is" : " are")
+                + " missing: the configuration that runs has it");
+        }
+        return read;
+    }
+
+    /** Tables' keys alone: what the entries of a list have differs by what they are. */
+    private static Set<String> keysOf(JsonNode root) {
+        Set<String> keys = new HashSet<>();
+        root.fieldNames().forEachRemaining(keys::add);
+        for (Map.Entry<String, JsonNode> table : root.path("settings").properties()) {
+            keys.add("settings." + table.getKey());
+            if (table.getValue().isObject()) {
+                table.getValue().fieldNames().forEachRemaining(key -> keys.add("settings." + table.getKey() + "." + key));
+            }
+        }
+        return Set.copyOf(keys);
+    }
+
     /** Reads a file of the same form for one pool: where it need not say, {@code listen}, {@code discovery}, ... */
     public static Config readPool(Path file) throws Invalid {
         return parse(text(file), true);
@@ -133,6 +165,21 @@
         if (!faults.isEmpty()) {
             throw new Invalid(String.join("; ", faults));
         }
+        for (String key : positive(names)) {
+            // As it stands, no word in quotes: what came of a slip of the pen is not to be guessed.
+            if (number(pairs, key) < (key.endsWith("attempts") ? 1 : Double.MIN_VALUE) || textual(settings, key)) {
+                throw new Invalid("settings." + key + " is " + pairs.get(key) + ": allowed is a number "
+                    + (key.endsWith("attempts") ? "from 1" : "above 0"));
+            }
+        }
+        for (int i = 0; i < names.classes().size(); i++) {
+            if (pairs.get("classes." + i + ".idempotency").equals("dedup") && !pairs.containsKey("classes." + i + ".key-ttl-ns")) {
+                throw new Invalid("settings.classes." + i + ".key-ttl-ns is missing: the class is dedup");
+            }
+        }
+        if (new HashSet<>(names.classes()).size() < names.classes().size()) {
+            throw new Invalid("settings.classes has a name twice");
+        }
         if (number(pairs, "domain.units-top") == 0) {
             throw new Invalid("settings.domain.units-top is 0, and so no request could be taken: allowed is a number above 0");
         }
@@ -149,7 +196,19 @@
             root.path("limits").path("sockets").asInt(256), root.path("limits").path("memory_mb").asLong(64) << 20,
             root.hasNonNull("known") ? RollReader.read(root.get("known"), names) : new Roll(0, true, List.of()),
             (long) number(pairs, "caps.connect-timeout-ns"), (long) number(pairs, "caps.keepalive-ns"),
-            names, read, pool ? null : addressOf(root, "console", true));
+            names, read, pool ? null : addressOf(root, "console", true), keysOf(root));
+    }
+
+    private static List<String> positive(Names names) {
+        List<String> keys = new ArrayList<>(List.of("caps.max-attempts"));
+        for (int i = 0; i < names.classes().size(); i++) {
+            keys.add("classes." + i + ".deadline-ns");
+        }
+        return keys;
+    }
+
+    private static boolean textual(JsonNode settings, String key) {
+        return settings.at("/" + key.replace('.', '/')).isTextual();
     }
 
     /** Figures that may be left out, and must be figures where they stand. */
--- a/src/main/java/rushpin/gateway/Gateway.java
+++ b/src/main/java/rushpin/gateway/Gateway.java
@@ -49,7 +49,7 @@
     /** The values of a load report that tell how busy a server is; their life in seconds; how many stay. */
     private static final Set<String> LOADS = Set.of("waiting", "active", "cpu");
     private static final int REPORT_S = 1, RECENT = 6;
-    private final Settings cfg;
+    private Settings cfg;
     private final Actions out;
     private final SplittableRandom random;
     private final long born;
@@ -61,8 +61,9 @@
     private Backend[] drawing = {};
     private final Map<Integer, Double> kindLatency = new HashMap<>(), zoneErrors = new HashMap<>();
     private final Backend[] lastHeard = new Backend[RECENT];
-    private final Lane[] lanes;
-    private final Control control;
+    /** One for each class, and behind them those of classes that are no more but for their last requests. */
+    private Lane[] lanes;
+    private Control control;
     private int inFlight, heardCount, processes = 1;
     private double retryTokens = RETRY_MOST, virtualTime, sentWork, usualStake, usualLoad;
     private boolean silent, denied;
@@ -86,7 +87,7 @@
         for (int i = 0; i < lanes.length; i++) { lanes[i] = new Lane(cfg.classes().get(i)); }
         taken = new double[cfg.plans().size()];
         told = new double[taken.length];
-        control = new Control();
+        control = new Control(null);
         answeredAt = now;
         tokensAt = now;
         callStart = Math.max(CALLS_LEAST, CALLS_START / cfg.siblings());
@@ -132,7 +133,7 @@
 
     @Override public void request(long at, Request request) {
         now = at;
-        boolean known = request.requestClass() >= 0 && request.requestClass() < lanes.length
+        boolean known = request.requestClass() >= 0 && request.requestClass() < cfg.classes().size()
             && request.plan() >= 0 && request.plan() < cfg.plans().size();
         if (!known) { out.refuse(request.id(), 0); }
         if (!known || jobs.containsKey(request.id())) { return; }
@@ -298,6 +299,26 @@
         processes = Math.max(1, count);
     }
 
+    @Override public void settings(long at, Settings next, int[] was) {
+        now = at;
+        List<Lane> made = new ArrayList<>();
+        for (int i = 0; i < was.length; i++) {
+            RequestClass spec = next.classes().get(i);
+            Lane lane = was[i] < 0 ? new Lane(spec) : lanes[was[i]];
+            lane.spec = spec;
+            made.add(lane);
+        }
+        for (Lane lane : lanes) {
+            boolean wanted = jobs.values().stream().anyMatch(job -> job.lane == lane);
+            if (wanted && !made.contains(lane)) { made.add(lane); }
+        }
+        boolean anew = !made.equals(Arrays.asList(lanes));
+        cfg = next;
+        lanes = made.toArray(Lane[]::new);
+        control = anew ? new Control(control) : control;
+        dispatch();
+    }
+
     /** How many listed servers are avoided for their failures. */
     public int shunned() {
         int count = 0;
@@ -390,7 +411,7 @@
             boolean dear = plan.rate() > 0 && plan.beyondEarns() <= plan.beyondCosts();
             boolean old = dear && now - heard > span / 4 && shared && !silent;
             // Scarce calls go where most can be lost and own traffic tells least; repeats follow refusals.
-            double stake = job.lane.spec.worth() * plan.price() * plan.beyondCosts() * units
+            double stake = job.spec.worth() * plan.price() * plan.beyondCosts() * units
                 * gateways / cfg.siblings() * (job.request.repeat() ? 0.3 : 1);
             usualStake += 0.02 * (stake - usualStake);
             stake /= Math.max(1e-9, usualStake);
@@ -543,6 +564,9 @@
         private final Request request;
         private final Customer customer;
         private final Lane lane;
+        /** As it was when the request came: changed settings are for those that come later. */
+        private final RequestClass spec;
+        private final int most = cfg.limits().maxAttempts();
         private final long arrived = now;
         private final double vAtArrival = virtualTime;
         private boolean taken, asking, inQuota, open, over;
@@ -555,14 +579,15 @@
             this.request = request;
             this.customer = customer;
             this.lane = lane;
+            spec = lane.spec;
         }
 
         double worth() {
             double part = inQuota ? 1 : customer.plan.beyondEarns() - customer.plan.beyondCosts();
-            return lane.spec.worth() * customer.plan.price() * part;
+            return spec.worth() * customer.plan.price() * part;
         }
 
-        long aimAt() { return Math.min(arrived + lane.spec.aim(), request.deadline()); }
+        long aimAt() { return Math.min(arrived + spec.aim(), request.deadline()); }
 
         /** Nobody tells how many the others have out: a cap on these is divided, and each may have one. */
         boolean mayGo() {
@@ -583,7 +608,7 @@
 
     /** A performance class: its queue, its share, its tags, and what the last interval saw of it. */
     private final class Lane {
-        private final RequestClass spec;
+        private RequestClass spec;
         private final ArrayDeque<Job> queue = new ArrayDeque<>();
         private double share, finishTag, service, units = 1, price = 1, latencySum, waitSum;
         private int arrivals, good;
@@ -733,13 +758,22 @@
     /** The share loop, the slower concurrency loop and the optimizer that feeds both. */
     private final class Control {
         private final int n = lanes.length;
-        private final Rls shareModel = new Rls(2 * n, 3 * n), levelModel = new Rls(1, 2);
+        private final Rls shareModel = new Rls(2 * n, 3 * n), levelModel;
         private double[] lastY;
         private double lastInverse, lastLevel, lastChange, scale = 1, level = 1, limit = 1;
         private boolean bound;
 
-        /** Until fitted, shares follow worth. */
-        Control() {
+        /** Until fitted, shares follow worth; the level's loop goes on where the one before stood, if there is one. */
+        Control(Control before) {
+            levelModel = before == null ? new Rls(1, 2) : before.levelModel;
+            if (before != null) {
+                lastInverse = before.lastInverse;
+                lastLevel = before.lastLevel;
+                lastChange = before.lastChange;
+                scale = before.scale;
+                level = before.level;
+                limit = before.limit;
+            }
             double sum = Math.max(1e-9, Arrays.stream(lanes).mapToDouble(lane -> lane.spec.worth()).sum());
             setShares(Arrays.stream(lanes).mapToDouble(lane -> lane.spec.worth() / sum).toArray());
         }
@@ -914,7 +948,7 @@
 
         boolean groupedWith(Job job) {
             Server b = job.anchor.entry;
-            return job.lane.spec.group() == Group.ZONE ? entry.zone() == b.zone() : entry.cell() == b.cell();
+            return job.spec.group() == Group.ZONE ? entry.zone() == b.zone() : entry.cell() == b.cell();
         }
 
         double score() {
@@ -980,7 +1014,7 @@
 
     /** The candidate that should answer soonest; null if none may be used now. */
     private Backend choose(Job job) {
-        RequestClass spec = job.lane.spec;
+        RequestClass spec = job.spec;
         boolean bound = job.mayHaveRunSince > 0 && spec.repeat() == Repeat.KEYED && spec.group() != Group.ALL;
         Backend best = null;
         double bestScore = Double.MAX_VALUE;
@@ -1021,19 +1055,19 @@
 
     /** How long to wait: no longer than an answer is worth something. */
     private long patience(Job job) {
-        long until = job.lane.spec.lateValue() <= 0 ? job.aimAt() : job.request.deadline();
+        long until = job.spec.lateValue() <= 0 ? job.aimAt() : job.request.deadline();
         return Math.max(MS, until - now);
     }
 
     /** After an attempt that did not end the request: another one, or the final answer. */
     private void again(Job job, boolean neverRan) {
-        RequestClass spec = job.lane.spec;
+        RequestClass spec = job.spec;
         boolean mayRepeat = job.mayHaveRunSince == 0 || spec.repeat() == Repeat.SAFE
             || spec.repeat() == Repeat.KEYED && now - job.mayHaveRunSince + TICK < spec.keyWindow();
         boolean inTime = now + (long) (job.lane.service * SECOND / 2) < job.aimAt();
         double price = neverRan ? 0 : 1;
         boolean may = mayRepeat && inTime && retryTokens >= price;
-        Backend backend = may && job.attempts < cfg.limits().maxAttempts() ? choose(job) : null;
+        Backend backend = may && job.attempts < job.most ? choose(job) : null;
         if (backend == null) {
             giveUp(job);
         } else {
@@ -1044,7 +1078,7 @@
 
     /** The one final answer of a request that is not served: refused if that is true, else failed. */
     private void giveUp(Job job) {
-        RequestClass spec = job.lane.spec;
+        RequestClass spec = job.spec;
         if (job.mayHaveRunSince == 0 || spec.repeat() == Repeat.SAFE
             || spec.repeat() == Repeat.KEYED && spec.group() == Group.ALL) {
             // By Little's law, when what is queued now will have been sent.
--- a/src/main/java/rushpin/gateway/Ports.java
+++ b/src/main/java/rushpin/gateway/Ports.java
@@ -235,6 +235,14 @@
          */
         void processes(long now, int count);
 
+        /**
+         * Classes and limits as they are for requests from now on; those that are open keep what held when they came.
+         * All else of the settings is as it was.
+         *
+         * @param was for each class of {@code next} which one of those until now it is; -1 for a new one
+         */
+        void settings(long now, Settings next, int[] was);
+
         /** The machines' clock has been set: it is so far ahead of this node's, in nanoseconds; below 0 if behind. */
         void clock(long now, long ahead);
     }
--- a/src/main/java/rushpin/net/Service.java
+++ b/src/main/java/rushpin/net/Service.java
@@ -4,7 +4,10 @@
 import rushpin.gateway.Ports.Settings;
 import rushpin.membership.Names;
 
-/** A pool as the listening side sees it. Names and settings never change; the rest is called on its loop. */
+/**
+ * A pool as the listening side sees it, called on the pool's loop. Names and settings are read on the listening side's:
+ * they change only where both are one.
+ */
 public interface Service {
     /** The pool's name; empty for the platform's one pool. */
     String name();
--- a/src/main/java/rushpin/node/PlatformService.java
+++ b/src/main/java/rushpin/node/PlatformService.java
@@ -46,10 +46,16 @@
         return pool.ready();
     }
 
-    /** Clients, attempts, the module and its list stay as they are; all but addresses is for the next start. */
+    /**
+     * Clients, attempts, the module and its list stay as they are. Addresses, classes and limits are taken; all else
+     * is for the next start.
+     */
     @Override
     public void reload(Config changed, Operator operator) {
-        loop.execute(() -> pool.move(PoolPlan.platform(changed)));
+        loop.execute(() -> {
+            pool.move(PoolPlan.platform(changed));
+            pool.retune(changed.names(), changed.settings());
+        });
     }
 
     @Override
--- a/src/main/java/rushpin/node/Pool.java
+++ b/src/main/java/rushpin/node/Pool.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +17,7 @@
 import rushpin.gateway.Ports;
 import rushpin.gateway.Ports.ListKind;
 import rushpin.gateway.Ports.Outcome;
+import rushpin.gateway.Ports.RequestClass;
 import rushpin.gateway.Ports.Result;
 import rushpin.gateway.Ports.Server;
 import rushpin.gateway.Ports.Settings;
@@ -69,6 +71,10 @@
     private Desk desk;
     private Withheld withheld;
     private int processes = 1;
+    /** As they are now: classes that are dropped stand behind the others until their last clients are gone. */
+    private Names names;
+    private Settings settings;
+    private int retunes;
     private long deskDue;
     /** In place of discovery; null for none. */
     private XdsSource xds;
@@ -94,6 +100,8 @@
         this.clock = clock;
         this.budgets = budgets;
         this.claims = claims;
+        names = plan.upstream().names();
+        settings = plan.settings();
         stalls = new Stalls(STALL, SETTLING, clock.now());
         servers = new ServerPool(this, loop, plan.upstream(), budgets);
         counter = new CounterClient(this::counted, loop, plan.upstream());
@@ -211,6 +219,51 @@
         }
     }
 
+    /**
+     * Takes classes and limits of other settings; what is open keeps its rules. A class that is dropped is served by
+     * its old ones for as long as a client that has begun a request in it may come again.
+     */
+    void retune(Names changed, Settings to) {
+        if (!changed.plans().equals(names.plans()) || !to.plans().equals(settings.plans())) {
+            log("changed plans are for the next start; classes and limits are taken now");
+        }
+        List<String> classes = new ArrayList<>(changed.classes());
+        List<RequestClass> specs = new ArrayList<>(to.classes());
+        long dropped = 0;
+        for (int i = 0; i < names.classes().size(); i++) {
+            if (!classes.contains(names.classes().get(i))) {
+                classes.add(names.classes().get(i));
+                specs.add(settings.classes().get(i));
+                dropped = Math.max(dropped, settings.classes().get(i).deadline());
+            }
+        }
+        take(classes, specs, to);
+        int mine = ++retunes;
+        if (dropped > 0) {
+            loop.schedule(() -> {
+                if (mine == retunes) {
+                    take(changed.classes(), to.classes(), to);
+                }
+            }, dropped, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void take(List<String> classes, List<RequestClass> specs, Settings to) {
+        if (classes.equals(names.classes()) && specs.equals(settings.classes()) && to.limits().equals(settings.limits())) {
+            return;
+        }
+        int[] was = classes.stream().mapToInt(names.classes()::indexOf).toArray();
+        names = new Names(List.copyOf(classes), names.plans(), names.zones(), names.kinds());
+        settings = new Settings(settings.me(), settings.siblings(), settings.zone(), settings.tick(), settings.sizesTell(),
+            settings.reports(), List.copyOf(specs), settings.plans(), to.limits(), settings.counter(), settings.rules());
+        if (desk != null) {
+            classes.forEach(desk.counts()::of);
+        }
+        log("classes are now " + String.join(", ", classes) + "; attempts at most " + to.limits().maxAttempts());
+        Settings now = settings;
+        event(null, at -> gateway.settings(at, now, was));
+    }
+
     /**
      * Ends the pool once what it has taken is answered and no attempt is out any more. Until then it goes on hearing
      * of drains: an attempt that is repeated keeps the rules to its end.
@@ -282,12 +335,12 @@
 
     @Override
     public Names names() {
-        return plan.upstream().names();
+        return names;
     }
 
     @Override
     public Settings settings() {
-        return plan.settings();
+        return settings;
     }
 
     /**
--- a/src/test/java/rushpin/config/ConfigTest.java
+++ b/src/test/java/rushpin/config/ConfigTest.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The platform's configuration: what is missing or no figure is refused whole, by the key's name. */
 class ConfigTest {
@@ -42,4 +44,46 @@
         String fault = fault(spoilt);
         assertTrue(fault.contains(key) && fault.contains("is not a number from 0"), fault);
     }
+
+    @ParameterizedTest
+    @CsvSource({"deadline-ns, 0", "deadline-ns, -4", "deadline-ns, \"4000000000\"", "deadline-ns, null", "deadline-ns, true",
+        "max-attempts, 0", "max-attempts, -1", "max-attempts, 0.4", "max-attempts, \"six\"", "max-attempts, []"})
+    void aDeadlineAndAttemptsArePositiveNumbers(String key, String value) throws Exception {
+        String fault = fault(good().replaceFirst("\"" + key + "\": *[0-9.]+", "\"" + key + "\": " + value));
+        assertTrue(fault.contains(key), fault);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", " ", "{", "[]", "null", "{}", "{\"settings\": {}}"})
+    void whatIsNoConfigurationIsTurnedDown(String text) {
+        fault(text);
+    }
+
+    @Test
+    void aPartOfAFileIsTurnedDownWhereverItEnds() throws Exception {
+        String whole = good();
+        for (int end = whole.lastIndexOf('}'); end > 0; end -= 61) {
+            fault(whole.substring(0, end));
+        }
+    }
+
+    /** Each key by itself: a default in its place would be nobody's choice. */
+    @ParameterizedTest
+    @ValueSource(strings = {"limits", "counter", "known", "seed", "discovery", "listen", "rules", "caps", "max-open",
+        "max-retry-after-ns", "cold-from", "trued-up", "weights", "classes", "tariffs", "siblings"})
+    void aKeyThatTheRunningFileHasMustBeInTheNext(String key, @TempDir Path folder) throws Exception {
+        Config running = Config.parse(good());
+        Path file = Files.writeString(folder.resolve("config.json"), good());
+        assertDoesNotThrow(() -> Config.readAgain(file, running));
+        Files.writeString(file, good().replaceFirst("\"" + key + "\":", "\"was-" + key + "\":"));
+        String fault = assertThrows(Config.Invalid.class, () -> Config.readAgain(file, running)).getMessage();
+        assertTrue(fault.contains(key), fault);
+    }
+
+    @Test
+    void aKeyedClassNeedsItsWindowAndNamesStandOnce() throws Exception {
+        String noWindow = good().replaceFirst("\"key-ttl-ns\": 30000000000,", "");
+        assertTrue(fault(noWindow).contains("classes.1.key-ttl-ns"), fault(noWindow));
+        assertTrue(fault(good().replace("\"strict\"", "\"order\"")).contains("name twice"));
+    }
 }
--- /dev/null
+++ b/src/test/java/rushpin/node/RetuneNodeTest.java
@@ -0,0 +1,134 @@
+package rushpin.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rushpin.config.Config;
+
+/** Settings that change under clients: over real sockets, and as a real process that is sent SIGHUP. */
+class RetuneNodeTest extends Stage {
+    @TempDir
+    Path folder;
+
+    private static String ask(Socket client, String id, String requestClass) throws Exception {
+        Map<String, String> headers = headers(id, requestClass, "20000");
+        headers.put("Idempotency-Key", "key-" + id);
+        write(client, "POST /api", headers, "x");
+        return status(Peer.read(client));
+    }
+
+    @Test
+    void aNewClassIsServedAndADroppedOneForAWhile() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        String before = config(member("s-0", server.address(), "Ready", 0));
+        EdgeNode node = start(before);
+        Socket client = client(node);
+        assertEquals("400", ask(client(node), "t-0", "urgent"));
+        assertEquals("200", ask(client, "t-1", "strict"));
+        // A short deadline, as that is how long a dropped class is served on.
+        String changed = before.replace("\"strict\"", "\"urgent\"");
+        node.reload(Config.parse(changed));
+        node.loop().submit(() -> { }).sync();
+        assertEquals("200", ask(client, "t-2", "urgent"));
+        assertEquals("200", ask(client, "t-3", "strict"), "a client that has begun in it may still come again");
+        assertEquals("200", ask(client, "t-4", "order"));
+    }
+
+    @Test
+    void aDroppedClassEndsAfterItsDeadline() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        String before = config(member("s-0", server.address(), "Ready", 0))
+            .replace("\"deadline-ns\": 30000000000", "\"deadline-ns\": 300000000").replace("\"aim-ns\": 10000000000", "\"aim-ns\": 200000000");
+        EdgeNode node = start(before);
+        node.reload(Config.parse(before.replace("\"strict\"", "\"urgent\"")));
+        node.loop().submit(() -> { }).sync();
+        Socket client = client(node);
+        for (int i = 0; ; i++) {
+            Map<String, String> headers = headers("t-" + i, "strict", "300");
+            write(client, "POST /api", headers, "x");
+            if (status(Peer.read(client)).equals("400")) {
+                break;
+            }
+            assertTrue(i < 10_000, "it must end");
+        }
+        assertEquals("200", ask(client(node), "last", "urgent", "300"));
+    }
+
+    private static String ask(Socket client, String id, String requestClass, String expires) throws Exception {
+        write(client, "POST /api", headers(id, requestClass, expires), "x");
+        return status(Peer.read(client));
+    }
+
+    /** An order whose class is made one that may run once, and the other way round, while it is out. */
+    @Test
+    void whatIsOpenKeepsTheRulesItCameWith() throws Exception {
+        AtomicInteger tries = new AtomicInteger();
+        CountDownLatch out = new CountDownLatch(1), changed = new CountDownLatch(1);
+        Peer server = peer(m -> {
+            if (m.headers().get("x-trace-id").equals("held") && tries.incrementAndGet() == 1) {
+                out.countDown();
+                try {
+                    changed.await(60, TimeUnit.SECONDS);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                m.answer("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n");
+            } else {
+                m.answer(Peer.ok("", "x"));
+            }
+        });
+        String before = config(member("s-0", server.address(), "Ready", 0));
+        EdgeNode node = start(before);
+        Socket client = client(node);
+        write(client, "POST /api", headers("held", "strict", "20000"), "x");
+        assertTrue(out.await(60, TimeUnit.SECONDS));
+        node.reload(Config.parse(before.replace("\"fragile\"", "\"dedup\"").replace("\"key-ttl-ns\": 4000000000", "\"key-ttl-ns\": 30000000000")));
+        node.loop().submit(() -> { }).sync();
+        changed.countDown();
+        assertEquals("502", status(Peer.read(client)), "it may have run, and came as one that may run once");
+        assertEquals(1, tries.get());
+    }
+
+    @Test
+    void aBrokenFileChangesNothingAndIsCounted() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        String good = config(member("s-0", server.address(), "Ready", 0));
+        int console = Daemon.free();
+        String with = good.replaceFirst("\"listen\"", "\"console\": \"127.0.0.1:" + console + "\", \"listen\"");
+        try (Daemon daemon = new Daemon(folder, with, null)) {
+            Socket client = new Socket("127.0.0.1", daemon.port());
+            toClose.add(client);
+            client.setSoTimeout(60_000);
+            String urgent = with.replace("\"strict\"", "\"urgent\"");
+            for (String broken : new String[] {"", urgent.substring(0, urgent.length() / 2),
+                urgent.replace("\"max-attempts\": 6", "\"max-attempts\": 0"), urgent.replace("\"caps\"", "\"cups\"")}) {
+                Files.writeString(daemon.config, broken);
+                daemon.signal("HUP");
+                daemon.await("the configuration stays as it was");
+            }
+            assertEquals("400", ask(client, "t-1", "urgent"));
+            Files.writeString(daemon.config, urgent);
+            daemon.signal("HUP");
+            daemon.await("configuration read again");
+            Socket again = new Socket("127.0.0.1", ((java.net.InetSocketAddress) client.getRemoteSocketAddress()).getPort());
+            toClose.add(again);
+            again.setSoTimeout(60_000);
+            assertEquals("200", ask(again, "t-2", "urgent"));
+            String figures;
+            try (Socket caller = new Socket("127.0.0.1", console)) {
+                caller.getOutputStream().write("STATS\n".getBytes(java.nio.charset.StandardCharsets.UTF_8));
+                figures = new String(caller.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
+            }
+            assertTrue(figures.contains("node.config_applied:1|c\n") && figures.contains("node.config_rejected:4|c\n"), figures);
+        }
+    }
+}
