--- a/src/main/java/rushpin/gateway/Gateway.java
+++ b/src/main/java/rushpin/gateway/Gateway.java
@@ -769,7 +769,7 @@
         private double lastInverse, lastLevel, lastChange, scale = 1, level = 1, limit = 1;
         private boolean bound;
 
-        /** Until fitted, shares follow worth; the level's loop goes on where the one before stood, if there is one. */
+        /** Until fitted, shares follow worth; the level's loop goes on where one before it stood. */
         Control(Control before) {
             levelModel = before == null ? new Rls(1, 2) : before.levelModel;
             if (before != null) {
--- a/src/main/java/rushpin/net/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -211,6 +211,7 @@
             if (beside != null) {
                 // At once, and not by way of the pipeline: each microsecond counts here.
                 beside.close();
+                beside = null;
             }
         } catch (IOException e) {
             Trouble.report("the listening socket", e);
