A process that is replaced hands what ceilings hold over to the new one

Change: the module gives away a part of what ceilings hold (half when a second process is seen, the rest at its end) and takes over what another gave; units are gone from the giver before anyone has them, so the sum never grows, which a property holds. Between processes they go as a file, whole or not at all, for 2 s.

--- a/src/main/java/rushpin/console/Beside.java
+++ b/src/main/java/rushpin/console/Beside.java
@@ -6,20 +6,26 @@
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.UUID;
 
 /**
  * How many processes act as one node: each that serves holds a lock on a file of its own in the folder that they share.
- * The kernel lets go of it when a process ends, however that is.
+ * The kernel lets go of it when a process ends, however that is. What one gives another stands there as a file for a moment.
  */
 public final class Beside implements AutoCloseable {
-    private static final String PREFIX = "serves-";
+    private static final String PREFIX = "serves-", GIFT = "gave-";
+    private static final int MOST_GIFTS = 16_384;
+    private static final long GIFT_MS = 2_000;
 
     private final Path folder, mine;
     private FileChannel held;
+    private int given;
 
     /** Says nothing yet; the folder is made if it is not there. */
     public Beside(Path folder) throws IOException {
@@ -43,6 +49,68 @@
         held = channel;
     }
 
+    /** What one process gives another of a customer's ceiling. */
+    public record Gift(long customer, int plan, int setSize, double units) {
+    }
+
+    /** Leaves something for the other processes: whoever comes first has all of it. */
+    public synchronized void give(List<Gift> gifts) throws IOException {
+        if (gifts.isEmpty()) {
+            return;
+        }
+        StringBuilder text = new StringBuilder();
+        for (Gift gift : gifts.subList(0, Math.min(MOST_GIFTS, gifts.size()))) {
+            text.append(gift.customer).append(' ').append(gift.plan).append(' ').append(gift.setSize).append(' ')
+                .append(gift.units).append('\n');
+        }
+        Path making = folder.resolve("new-" + UUID.randomUUID());
+        Files.writeString(making, text.append("end\n"));
+        // Whole under its name, or not there.
+        Files.move(making, folder.resolve(GIFT + mine.getFileName() + "-" + ++given), StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    /** Takes what others have left; what nobody took in {@value #GIFT_MS} ms is nobody's any more. */
+    public synchronized List<Gift> take(long nowMs) throws IOException {
+        List<Gift> gifts = new ArrayList<>();
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, GIFT + "*")) {
+            for (Path file : files) {
+                if (file.getFileName().toString().startsWith(GIFT + mine.getFileName())) {
+                    continue;
+                }
+                Path taken = folder.resolve("new-" + UUID.randomUUID());
+                try {
+                    Files.move(file, taken, StandardCopyOption.ATOMIC_MOVE);
+                } catch (NoSuchFileException e) {
+                    continue;
+                }
+                long age = nowMs - Files.getLastModifiedTime(taken).toMillis();
+                List<String> lines = Files.readAllLines(taken);
+                Files.delete(taken);
+                if (age >= -GIFT_MS && age <= GIFT_MS) {
+                    read(lines, gifts);
+                }
+            }
+        }
+        return gifts;
+    }
+
+    private static void read(List<String> lines, List<Gift> into) {
+        if (lines.isEmpty() || lines.size() > MOST_GIFTS + 1 || !lines.get(lines.size() - 1).equals("end")) {
+            return;
+        }
+        for (String line : lines.subList(0, lines.size() - 1)) {
+            String[] parts = line.split(" ");
+            try {
+                double units = Double.parseDouble(parts[3]);
+                if (units > 0 && Double.isFinite(units)) {
+                    into.add(new Gift(Long.parseLong(parts[0]), Integer.parseInt(parts[1]), Integer.parseInt(parts[2]), units));
+                }
+            } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
+                // A line that nobody wrote so: a gift less does no harm.
+            }
+        }
+    }
+
     /** How many others serve now; files of those that have ended are removed. */
     public synchronized int others() throws IOException {
         int others = 0;
@@ -64,7 +132,7 @@
         } catch (OverlappingFileLockException e) {
             // Another node of this very process, as in tests.
             return true;
-        } catch (java.nio.file.NoSuchFileException e) {
+        } catch (NoSuchFileException e) {
             return false;
         }
     }
--- a/src/main/java/rushpin/gateway/Gateway.java
+++ b/src/main/java/rushpin/gateway/Gateway.java
@@ -298,6 +298,27 @@
         if (customer.shared) { active.add(customer); }
     }
 
+    @Override public void give(long at, double part) {
+        now = at;
+        for (Customer c : customers.values()) {
+            c.refill();
+            double units = Math.max(0, c.ceiling) * Math.max(0, Math.min(1, part));
+            if (c.plan.ceilingRate() <= 0 || units <= 0) { continue; }
+            c.ceiling -= units;
+            out.gave(c.key, c.place, c.gateways, units);
+        }
+    }
+
+    @Override public void inherit(long at, long key, int plan, int setSize, double units) {
+        now = at;
+        if (plan < 0 || plan >= cfg.plans().size() || !(units > 0)) { return; }
+        Customer customer = customers.computeIfAbsent(key, k -> new Customer(k, plan, setSize));
+        if (customer.place != plan) { return; }
+        customer.ceiling += units;
+        // No more than it may hold, whoever says so.
+        customer.refill();
+    }
+
     @Override public void processes(long at, int count) {
         now = at;
         // What came in until now was each process's own.
--- a/src/main/java/rushpin/node/EdgeNode.java
+++ b/src/main/java/rushpin/node/EdgeNode.java
@@ -160,6 +160,7 @@
 
     @Override
     public void end(int cut) {
+        services.leave();
         drained.complete(cut);
     }
 
--- a/src/main/java/rushpin/node/PlatformService.java
+++ b/src/main/java/rushpin/node/PlatformService.java
@@ -58,6 +58,11 @@
         });
     }
 
+    @Override
+    public void leave() {
+        pool.leave();
+    }
+
     @Override
     public CompletableFuture<Boolean> withhold(String id, boolean out) {
         CompletableFuture<Boolean> done = new CompletableFuture<>();
--- a/src/main/java/rushpin/node/Pool.java
+++ b/src/main/java/rushpin/node/Pool.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import rushpin.config.PoolPlan;
+import rushpin.console.Beside;
 import rushpin.gateway.Gateway;
 import rushpin.gateway.Ports;
 import rushpin.gateway.Ports.ListKind;
@@ -71,6 +72,7 @@
     /** What operators' calls go to, and who is out by them; null for none. */
     private Desk desk;
     private Withheld withheld;
+    private final List<Beside.Gift> gifts = new ArrayList<>();
     private int processes = 1;
     /** As they are now: classes that are dropped stand behind the others until their last clients are gone. */
     private Names names;
@@ -141,12 +143,46 @@
         int now = 1 + desk.others();
         if (now != processes) {
             log(now == 1 ? "alone again" : now + " processes act as this node");
+            if (now > processes) {
+                // One that begins has nothing under any ceiling: it is given its part of what is here.
+                give(1 - processes / (double) now);
+            }
             processes = now;
             event(null, at -> gateway.processes(at, now));
         }
+        try {
+            for (Beside.Gift gift : desk.beside().take(System.currentTimeMillis())) {
+                event(null, at -> gateway.inherit(at, gift.customer(), gift.plan(), gift.setSize(), gift.units()));
+            }
+        } catch (IOException e) {
+            Trouble.report("what another process has given", e);
+        }
         desk.counts().servers(withheld.listed(), withheld.out() + gateway.shunned());
     }
 
+    /** Gives a part of what ceilings hold here to the other processes of this node. */
+    private void give(double part) {
+        gifts.clear();
+        event(null, at -> gateway.give(at, part));
+        try {
+            desk.beside().give(gifts);
+        } catch (IOException e) {
+            Trouble.report("what was given to another process", e);
+        }
+    }
+
+    /** The process ends: what it holds is another's, if there is one. */
+    void leave() {
+        if (desk != null && desk.others() > 0) {
+            give(1);
+        }
+    }
+
+    @Override
+    public void gave(long customer, int plan, int setSize, double units) {
+        gifts.add(new Beside.Gift(customer, plan, setSize, units));
+    }
+
     /** Begins with the list as last known; called on the loop. */
     void start(Roll known) {
         start(known, null, "");
--- a/src/main/java/rushpin/node/Services.java
+++ b/src/main/java/rushpin/node/Services.java
@@ -29,6 +29,11 @@
         return CompletableFuture.failedFuture(new UnsupportedOperationException("not with an operator's file"));
     }
 
+    /** The process ends with all answered: what it holds may be another process's; on the listening side's loop. */
+    default void leave() {
+        // Only where processes act as one node.
+    }
+
     /** Ends all that is not on the listening side's loop. */
     void close();
 }
--- /dev/null
+++ b/src/test/java/rushpin/console/BesideTest.java
@@ -0,0 +1,71 @@
+package rushpin.console;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What processes of one node leave for each other. */
+class BesideTest {
+    @TempDir
+    Path folder;
+
+    private static final List<Beside.Gift> GIFTS = List.of(new Beside.Gift(7, 0, 2, 3.5), new Beside.Gift(-9, 1, 4, 1));
+
+    private Path gift() throws Exception {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.filter(f -> f.getFileName().toString().startsWith("gave-")).findFirst().orElseThrow();
+        }
+    }
+
+    @Test
+    void aGiftIsTakenOnceAndNotByItsGiver() throws Exception {
+        Beside one = new Beside(folder), two = new Beside(folder), three = new Beside(folder);
+        one.give(GIFTS);
+        assertEquals(List.of(), one.take(System.currentTimeMillis()));
+        assertEquals(GIFTS, two.take(System.currentTimeMillis()));
+        assertEquals(List.of(), three.take(System.currentTimeMillis()));
+    }
+
+    @Test
+    void anOldGiftIsNobodys() throws Exception {
+        Beside one = new Beside(folder), two = new Beside(folder);
+        one.give(GIFTS);
+        Files.setLastModifiedTime(gift(), FileTime.fromMillis(System.currentTimeMillis() - 60_000));
+        assertEquals(List.of(), two.take(System.currentTimeMillis()));
+        one.give(GIFTS);
+        assertEquals(GIFTS, two.take(System.currentTimeMillis()), "the next one is not hindered by it");
+    }
+
+    @Test
+    void whatIsTornOrForeignGivesNothing() throws Exception {
+        Beside one = new Beside(folder), two = new Beside(folder);
+        for (String text : new String[] {"", "7 0 2 3.5\n", "7 0 2 NaN\nend\n", "7 0 2 -4\nend\n", "x y\nend\n", "end\n"}) {
+            one.give(GIFTS);
+            Files.writeString(gift(), text);
+            assertEquals(List.of(), two.take(System.currentTimeMillis()), text);
+        }
+        one.give(List.of());
+        assertEquals(List.of(), two.take(System.currentTimeMillis()));
+    }
+
+    @Test
+    void whoServesIsCountedUntilItEnds() throws Exception {
+        Beside one = new Beside(folder), two = new Beside(folder);
+        assertEquals(0, two.others());
+        one.serve();
+        assertEquals(1, two.others());
+        assertEquals(0, one.others(), "not itself");
+        one.close();
+        assertEquals(0, two.others());
+        try (Stream<Path> files = Files.list(folder)) {
+            assertTrue(files.noneMatch(f -> f.getFileName().toString().startsWith("serves-")));
+        }
+    }
+}
--- a/src/test/java/rushpin/gateway/Host.java
+++ b/src/test/java/rushpin/gateway/Host.java
@@ -45,6 +45,8 @@
     /** Units by customer that were taken and that no call has told. */
     final Map<Long, Double> untold = new HashMap<>();
     final List<String> logs = new ArrayList<>();
+    /** Units under ceilings that went to another process. */
+    final List<Double> gave = new ArrayList<>();
     final Gateway gateway;
     long now;
     private final int setSize;
@@ -157,6 +159,11 @@
         untold.merge(customer, units, Double::sum);
     }
 
+    @Override
+    public void gave(long customer, int plan, int setSize, double units) {
+        gave.add(units);
+    }
+
     @Override
     public void timer(long token, long span) {
     }
--- a/src/test/java/rushpin/gateway/RetuneTest.java
+++ b/src/test/java/rushpin/gateway/RetuneTest.java
@@ -175,6 +175,60 @@
         return sent;
     }
 
+    /** A process that begins is given its part, and however often units go to and fro their sum never grows. */
+    @Property(tries = 200)
+    void whatIsGivenNeverGrows(@ForAll @Size(min = 1, max = 30) List<@IntRange(min = 0, max = 59) Integer> steps) {
+        Plan plan = new Plan(50, 100, 0, 1, 1, 0, 10, 20, 0);
+        Host[] hosts = {new Host(plan, 2, 0, false).servers(8), new Host(plan, 2, 0, false).servers(8)};
+        int sent = 0;
+        long began = hosts[0].now;
+        for (Host host : hosts) {
+            host.gateway.processes(host.now, 2);
+        }
+        for (int step : steps) {
+            int who = step % 2;
+            Host from = hosts[who], to = hosts[1 - who];
+            if (step < 20) {
+                int before = from.gave.size();
+                from.gateway.give(from.now, step / 20.0);
+                from.gave.subList(before, from.gave.size()).forEach(units -> to.gateway.inherit(to.now, 9, 0, 2, units));
+            } else if (step < 45) {
+                for (int i = 0; i < step % 7; i++) {
+                    String id = from.request(SAFE, 0, 9, 1, from.now + 3000 * MS);
+                    if (!from.attempts(id).isEmpty()) {
+                        sent++;
+                        from.end(id, Outcome.OK);
+                    }
+                }
+            } else {
+                for (Host host : hosts) {
+                    host.pass(step * 10L * MS);
+                }
+            }
+        }
+        double most = 20 / 2.0 + (hosts[0].now - began) / 1e9 * 10 / 2.0 + 1;
+        assertTrue(sent <= most, sent + " sent, " + most + " allowed, after " + steps);
+    }
+
+    @Test
+    void whoBeginsHasWhatItIsGiven() {
+        Plan plan = new Plan(50, 100, 0, 1, 1, 0, 10, 20, 0);
+        Host old = new Host(plan, 2, 0, false).servers(8);
+        old.pass(4000 * MS);
+        old.end(old.request(SAFE, 0, 9, 1, old.now + 3000 * MS), Outcome.OK);
+        Host fresh = new Host(plan, 2, 0, false).servers(8);
+        String none = fresh.request(SAFE, 0, 9, 1, fresh.now + 3000 * MS);
+        assertTrue(fresh.refused.contains(none), "a ceiling starts with nothing");
+        old.gateway.give(old.now, 0.5);
+        assertEquals(1, old.gave.size());
+        old.gave.forEach(units -> fresh.gateway.inherit(fresh.now, 9, 0, 2, units));
+        String some = fresh.request(SAFE, 0, 9, 1, fresh.now + 3000 * MS);
+        assertEquals(1, fresh.attempts(some).size());
+        fresh.gateway.inherit(fresh.now, 9, 0, 2, 1e9);
+        fresh.gateway.give(fresh.now, 1);
+        assertTrue(fresh.gave.get(0) <= 10, "no more than its part, whoever says so: " + fresh.gave);
+    }
+
     @Test
     void aServerThatIsAvoidedIsCounted() {
         Host host = new Host(Host.FREE, 2, 0).servers(1);
