The console serves the pools of an operator's file too

Need: with an operator's file the console knew READY and the process's own figures, and turned DISABLE and ENABLE away.

Change: a server goes out in each pool that knows it, on that pool's loop; figures stand behind the pool's name (ok.POOL.C); what ceilings hold goes to the same pool of the other process; a node that is passed its socket drains as before.

Seen: the classes of console, pools and architecture pass; a pool on its own loop is one of the cases.

--- a/src/main/java/rushpin/console/Beside.java
+++ b/src/main/java/rushpin/console/Beside.java
@@ -53,8 +53,8 @@
     public record Gift(long customer, int plan, int setSize, double units) {
     }
 
-    /** Leaves something for the other processes: whoever comes first has all of it. */
-    public synchronized void give(List<Gift> gifts) throws IOException {
+    /** Leaves something for the same pool of the other processes: whoever comes first has all of it. */
+    public synchronized void give(String pool, List<Gift> gifts) throws IOException {
         if (gifts.isEmpty()) {
             return;
         }
@@ -66,15 +66,17 @@
         Path making = folder.resolve("new-" + UUID.randomUUID());
         Files.writeString(making, text.append("end\n"));
         // Whole under its name, or not there.
-        Files.move(making, folder.resolve(GIFT + mine.getFileName() + "-" + ++given), StandardCopyOption.ATOMIC_MOVE);
+        Files.move(making, folder.resolve(GIFT + pool + "." + mine.getFileName() + "-" + ++given), StandardCopyOption.ATOMIC_MOVE);
     }
 
     /** Takes what others have left; what nobody took in {@value #GIFT_MS} ms is nobody's any more. */
-    public synchronized List<Gift> take(long nowMs) throws IOException {
+    public synchronized List<Gift> take(String pool, long nowMs) throws IOException {
         List<Gift> gifts = new ArrayList<>();
+        String all = GIFT + pool + "." + PREFIX, own = GIFT + pool + "." + mine.getFileName();
         try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, GIFT + "*")) {
             for (Path file : files) {
-                if (file.getFileName().toString().startsWith(GIFT + mine.getFileName())) {
+                String name = file.getFileName().toString();
+                if (!name.startsWith(all) || name.startsWith(own)) {
                     continue;
                 }
                 Path taken = folder.resolve("new-" + UUID.randomUUID());
--- a/src/main/java/rushpin/console/Counts.java
+++ b/src/main/java/rushpin/console/Counts.java
@@ -1,12 +1,13 @@
 package rushpin.console;
 
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * What a process reports of itself, in the form of statsd: {@code NAME:VALUE|c} for counts since its start, {@code |g}
- * for what is now. Written by the pool's loop, read by the console's thread at any moment.
+ * for what is now. Written by the pools' loops, read by the console's thread at any moment.
  *
  * <p>Bounds: one entry for each class that the settings have named; beyond {@value #MOST_CLASSES} nothing is kept.
  */
@@ -42,8 +43,9 @@
 
     private final Map<String, OfClass> classes = new ConcurrentSkipListMap<>();
     private final OfClass rest = new OfClass();
-    private final AtomicLong active = new AtomicLong(), listed = new AtomicLong(), avoided = new AtomicLong(),
-        applied = new AtomicLong(), rejected = new AtomicLong();
+    /** For each pool how many servers are listed and how many of them avoided. */
+    private final Map<String, int[]> servers = new ConcurrentHashMap<>();
+    private final AtomicLong active = new AtomicLong(), applied = new AtomicLong(), rejected = new AtomicLong();
 
     /** The figures of a class, which begin at 0. */
     public OfClass of(String name) {
@@ -59,10 +61,14 @@
         active.addAndGet(by);
     }
 
-    /** So many app servers are listed, and so many of these avoided, by hand or by choice. */
-    public void servers(int inList, int avoid) {
-        listed.set(inList);
-        avoided.set(avoid);
+    /** So many app servers of a pool are listed, and so many of these avoided, by hand or by choice. */
+    public void servers(String pool, int inList, int avoid) {
+        servers.put(pool, new int[] {inList, avoid});
+    }
+
+    /** A pool is no more. */
+    public void forget(String pool) {
+        servers.remove(pool);
     }
 
     /** A configuration was read again: taken, or turned down whole. */
@@ -79,9 +85,14 @@
             line(text, "errors." + name, of.errors, 'c');
             line(text, "tries." + name, of.tries, 'c');
         });
+        int listed = 0, avoided = 0;
+        for (int[] pool : servers.values()) {
+            listed += pool[0];
+            avoided += pool[1];
+        }
         line(text, "active", active, 'g');
-        line(text, "pool_size", listed, 'g');
-        line(text, "pool_ejected", avoided, 'g');
+        line(text, "pool_size", new AtomicLong(listed), 'g');
+        line(text, "pool_ejected", new AtomicLong(avoided), 'g');
         line(text, "config_applied", applied, 'c');
         line(text, "config_rejected", rejected, 'c');
         return text.toString();
--- a/src/main/java/rushpin/node/Desk.java
+++ b/src/main/java/rushpin/node/Desk.java
@@ -5,7 +5,6 @@
 import rushpin.console.Beside;
 import rushpin.console.Counts;
 import rushpin.console.OutOfService;
-import rushpin.net.OpenRequest;
 import rushpin.net.Trouble;
 
 /**
@@ -21,10 +20,6 @@
         return new Desk(new Counts(), new OutOfService(folder), new Beside(folder));
     }
 
-    Counts.OfClass of(OpenRequest request) {
-        return counts.of(request.className());
-    }
-
     /** A configuration was read again: taken, or turned down whole. */
     public void configured(boolean taken) {
         counts.configured(taken);
--- a/src/main/java/rushpin/node/EdgeNode.java
+++ b/src/main/java/rushpin/node/EdgeNode.java
@@ -65,7 +65,7 @@
         ByteBudget bytes = new ByteBudget(operator == null ? config.memory() : config.memory() / 2);
         clients = new ClientServer(this, loop, config.listen(), config.sockets(), bytes, operator != null);
         services = operator == null ? new PlatformService(config, loop, clock, bytes, desk)
-            : new PooledServices(operator, config.name(), loop, clock, clients::forget);
+            : new PooledServices(operator, config.name(), loop, clock, clients::forget, desk);
         // Who gives a node a console replaces its process while it serves.
         listener = operator != null ? operator.listener()
             : desk == null ? Operator.Listener.OWN : Operator.Listener.REUSEPORT;
@@ -124,7 +124,7 @@
     /** Answers all that was taken; completes at the end of that with how many connections were cut. */
     public CompletableFuture<Integer> drain() {
         loop.execute(() -> {
-            if (desk != null) {
+            if (desk != null && listener == Operator.Listener.REUSEPORT) {
                 // Alone, it goes on taking those who still come for a moment; else they are the other process's.
                 lifecycle.shared(desk.others() > 0);
             }
--- a/src/main/java/rushpin/node/PlatformService.java
+++ b/src/main/java/rushpin/node/PlatformService.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import rushpin.config.Config;
 import rushpin.config.Operator;
@@ -65,15 +64,7 @@
 
     @Override
     public CompletableFuture<Boolean> withhold(String id, boolean out) {
-        CompletableFuture<Boolean> done = new CompletableFuture<>();
-        loop.execute(() -> {
-            try {
-                done.complete(pool.withhold(id, out));
-            } catch (IOException e) {
-                done.completeExceptionally(e);
-            }
-        });
-        return done;
+        return pool.withholdLater(id, out);
     }
 
     @Override
--- a/src/main/java/rushpin/node/Pool.java
+++ b/src/main/java/rushpin/node/Pool.java
@@ -10,10 +10,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import rushpin.config.PoolPlan;
 import rushpin.console.Beside;
+import rushpin.console.Counts;
 import rushpin.gateway.Gateway;
 import rushpin.gateway.Ports;
 import rushpin.gateway.Ports.ListKind;
@@ -115,7 +117,16 @@
     void serveDesk(Desk with) {
         desk = with;
         withheld = new Withheld();
-        names().classes().forEach(desk.counts()::of);
+        names().classes().forEach(name -> desk.counts().of(figure(name)));
+    }
+
+    /** What a class is called in the figures: where there are several pools, behind its pool. */
+    private String figure(String className) {
+        return plan.name().isEmpty() ? className : plan.name() + "." + className;
+    }
+
+    private Counts.OfClass counts(OpenRequest of) {
+        return desk.counts().of(figure(of.className()));
     }
 
     /** Takes a server out, or puts it back; false if none of that id was ever listed. Nothing changes if it throws. */
@@ -128,6 +139,19 @@
         return true;
     }
 
+    /** The same from any thread. */
+    CompletableFuture<Boolean> withholdLater(String id, boolean out) {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                done.complete(withhold(id, out));
+            } catch (IOException e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return done;
+    }
+
     /** What other processes of this node have written down, and how many there are. */
     private void followDesk() {
         try {
@@ -151,13 +175,16 @@
             event(null, at -> gateway.processes(at, now));
         }
         try {
-            for (Beside.Gift gift : desk.beside().take(System.currentTimeMillis())) {
+            for (Beside.Gift gift : desk.beside().take(plan.name(), System.currentTimeMillis())) {
                 event(null, at -> gateway.inherit(at, gift.customer(), gift.plan(), gift.setSize(), gift.units()));
             }
         } catch (IOException e) {
             Trouble.report("what another process has given", e);
         }
-        desk.counts().servers(withheld.listed(), withheld.out() + gateway.shunned());
+        if (ended == null) {
+            // One that is being replaced reports no more: its name is the next one's.
+            desk.counts().servers(plan.name(), withheld.listed(), withheld.out() + gateway.shunned());
+        }
     }
 
     /** Gives a part of what ceilings hold here to the other processes of this node. */
@@ -165,7 +192,7 @@
         gifts.clear();
         event(null, at -> gateway.give(at, part));
         try {
-            desk.beside().give(gifts);
+            desk.beside().give(plan.name(), gifts);
         } catch (IOException e) {
             Trouble.report("what was given to another process", e);
         }
@@ -294,7 +321,7 @@
         settings = new Settings(settings.me(), settings.siblings(), settings.zone(), settings.tick(), settings.sizesTell(),
             settings.reports(), List.copyOf(specs), settings.plans(), to.limits(), settings.counter(), settings.rules());
         if (desk != null) {
-            classes.forEach(desk.counts()::of);
+            classes.forEach(name -> desk.counts().of(figure(name)));
         }
         log("classes are now " + String.join(", ", classes) + "; attempts at most " + to.limits().maxAttempts());
         Settings now = settings;
@@ -446,7 +473,7 @@
         if (closed || mostOpen > 0 && open.size() >= mostOpen || dropped > 0 && drops() || !budgets.take(taken)) {
             // Nothing was sent for it, and its pool is full or has just gone: to come again is harmless.
             if (desk != null) {
-                desk.of(taken).refused();
+                counts(taken).refused();
             }
             taken.answerOnce().refused(Budgets.COME_BACK);
             taken.settle();
@@ -503,7 +530,7 @@
             if (answers != null) {
                 if (desk != null) {
                     desk.counts().open(-1);
-                    desk.of(of).served();
+                    counts(of).served();
                 }
                 answers.served(body);
             }
@@ -548,9 +575,9 @@
                 if (desk != null) {
                     desk.counts().open(-1);
                     if (whole) {
-                        desk.of(of).served();
+                        counts(of).served();
                     } else {
-                        desk.of(of).failed();
+                        counts(of).failed();
                     }
                 }
             });
@@ -563,7 +590,7 @@
     @Override
     public void attemptWritten(OpenRequest of) {
         if (desk != null) {
-            desk.of(of).tried();
+            counts(of).tried();
         }
     }
 
@@ -622,7 +649,7 @@
         if (answers != null) {
             if (desk != null) {
                 desk.counts().open(-1);
-                desk.of(of).refused();
+                counts(of).refused();
             }
             answers.refused(retryAfter);
             settle(of);
@@ -642,7 +669,7 @@
         if (answers != null) {
             if (desk != null) {
                 desk.counts().open(-1);
-                desk.of(of).failed();
+                counts(of).failed();
             }
             answers.failed();
             settle(of);
--- a/src/main/java/rushpin/node/PooledServices.java
+++ b/src/main/java/rushpin/node/PooledServices.java
@@ -14,6 +14,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import rushpin.budget.Lender;
@@ -49,6 +50,8 @@
     private final String node;
     /** For the life of the process: a record can't change its folder. */
     private final Path state;
+    /** Where operators' calls end; null where there is no console. */
+    private final Desk console;
     private final Map<String, Running> running = new LinkedHashMap<>();
     private final List<Running> retiring = new ArrayList<>();
     private final Map<String, Running> byKey = new HashMap<>();
@@ -59,7 +62,8 @@
     private int generation;
 
     /** Opens nothing yet; {@code ended} hears on the listening side's loop of each name that no pool has any more. */
-    PooledServices(Operator operator, String node, EventLoop front, Clock clock, Consumer<String> ended) {
+    PooledServices(Operator operator, String node, EventLoop front, Clock clock, Consumer<String> ended, Desk console) {
+        this.console = console;
         this.operator = operator;
         this.node = node;
         state = operator.state();
@@ -125,6 +129,9 @@
         Budgets budgets = new Budgets(shares[0], shares[1], shares[2], shares[3], null);
         Pool pool = new Pool(plan, loop, clock, budgets,
             (roll, kind) -> front.execute(() -> admit(key, roll, kind)));
+        if (console != null) {
+            pool.serveDesk(console);
+        }
         Running begun = new Running(pool, key, own, budgets);
         running.put(plan.name(), begun);
         byKey.put(key, begun);
@@ -193,6 +200,9 @@
         }
         if (!running.containsKey(old.pool().name())) {
             ended.accept(old.pool().name());
+            if (console != null) {
+                console.counts().forget(old.pool().name());
+            }
         }
         if (old.own() != null) {
             old.own().shutdownGracefully(0, 1, TimeUnit.SECONDS);
@@ -253,6 +263,24 @@
         return running.values().stream().allMatch(each -> each.pool().ready());
     }
 
+    /** In every pool that knows the id, the retiring ones too. */
+    @Override
+    public CompletableFuture<Boolean> withhold(String id, boolean out) {
+        return CompletableFuture.supplyAsync(() -> {
+            CompletableFuture<Boolean> any = CompletableFuture.completedFuture(false);
+            for (Running each : List.copyOf(byKey.values())) {
+                any = any.thenCombine(each.pool().withholdLater(id, out), (one, other) -> one || other);
+            }
+            return any;
+        }, front).thenCompose(any -> any);
+    }
+
+    /** Pools with a loop of their own have given what they could when the other process was first seen. */
+    @Override
+    public void leave() {
+        running.values().stream().filter(each -> each.own() == null).forEach(each -> each.pool().leave());
+    }
+
     @Override
     public void reload(Config changed, Operator next) {
         if (next == null) {
--- a/src/main/java/rushpin/node/Services.java
+++ b/src/main/java/rushpin/node/Services.java
@@ -25,9 +25,7 @@
      * Takes an app server out, or puts it back. Completes with false if none of that id was ever listed, and
      * exceptionally if it could not be written down, or there is no desk to keep it at; nothing has changed then.
      */
-    default CompletableFuture<Boolean> withhold(String id, boolean out) {
-        return CompletableFuture.failedFuture(new UnsupportedOperationException("not with an operator's file"));
-    }
+    CompletableFuture<Boolean> withhold(String id, boolean out);
 
     /** The process ends with all answered: what it holds may be another process's; on the listening side's loop. */
     default void leave() {
--- a/src/test/java/rushpin/console/BesideTest.java
+++ b/src/test/java/rushpin/console/BesideTest.java
@@ -27,32 +27,34 @@
     @Test
     void aGiftIsTakenOnceAndNotByItsGiver() throws Exception {
         Beside one = new Beside(folder), two = new Beside(folder), three = new Beside(folder);
-        one.give(GIFTS);
-        assertEquals(List.of(), one.take(System.currentTimeMillis()));
-        assertEquals(GIFTS, two.take(System.currentTimeMillis()));
-        assertEquals(List.of(), three.take(System.currentTimeMillis()));
+        one.give("a", GIFTS);
+        assertEquals(List.of(), one.take("a", System.currentTimeMillis()));
+        assertEquals(List.of(), two.take("a.b", System.currentTimeMillis()), "another pool's");
+        assertEquals(List.of(), two.take("", System.currentTimeMillis()));
+        assertEquals(GIFTS, two.take("a", System.currentTimeMillis()));
+        assertEquals(List.of(), three.take("a", System.currentTimeMillis()));
     }
 
     @Test
     void anOldGiftIsNobodys() throws Exception {
         Beside one = new Beside(folder), two = new Beside(folder);
-        one.give(GIFTS);
+        one.give("a", GIFTS);
         Files.setLastModifiedTime(gift(), FileTime.fromMillis(System.currentTimeMillis() - 60_000));
-        assertEquals(List.of(), two.take(System.currentTimeMillis()));
-        one.give(GIFTS);
-        assertEquals(GIFTS, two.take(System.currentTimeMillis()), "the next one is not hindered by it");
+        assertEquals(List.of(), two.take("a", System.currentTimeMillis()));
+        one.give("a", GIFTS);
+        assertEquals(GIFTS, two.take("a", System.currentTimeMillis()), "the next one is not hindered by it");
     }
 
     @Test
     void whatIsTornOrForeignGivesNothing() throws Exception {
         Beside one = new Beside(folder), two = new Beside(folder);
         for (String text : new String[] {"", "7 0 2 3.5\n", "7 0 2 NaN\nend\n", "7 0 2 -4\nend\n", "x y\nend\n", "end\n"}) {
-            one.give(GIFTS);
+            one.give("a", GIFTS);
             Files.writeString(gift(), text);
-            assertEquals(List.of(), two.take(System.currentTimeMillis()), text);
+            assertEquals(List.of(), two.take("a", System.currentTimeMillis()), text);
         }
-        one.give(List.of());
-        assertEquals(List.of(), two.take(System.currentTimeMillis()));
+        one.give("a", List.of());
+        assertEquals(List.of(), two.take("a", System.currentTimeMillis()));
     }
 
     @Test
--- a/src/test/java/rushpin/node/ConsoleTest.java
+++ b/src/test/java/rushpin/node/ConsoleTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import rushpin.config.Config;
+import rushpin.config.OperatorFile;
 
 /** Operators' calls over a real socket, to a node with scripted app servers. */
 class ConsoleTest extends Stage {
@@ -167,6 +168,38 @@
         assertEquals(-1, silent.get(39).getInputStream().read(), "half a line is let go in the end");
     }
 
+    /** With an operator's file, and a pool on a loop of its own: figures stand behind the pool's name. */
+    @Test
+    void poolsOfAnOperatorsFileHearOfItToo() throws Exception {
+        AtomicInteger first = new AtomicInteger();
+        Peer a = peer(m -> {
+            first.incrementAndGet();
+            m.answer(Peer.ok("", "a"));
+        });
+        Peer b = peer(m -> m.answer(Peer.ok("", "b")));
+        Config config = Config.parse(config(member("s-0", a.address(), "Ready", 0), member("s-1", b.address(), "Ready", 0)));
+        Desk desk = Desk.in(folder);
+        console = new Console(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), desk, () -> node);
+        toClose.add(console);
+        node = new EdgeNode(config, OperatorFile.parse("[[pool]]\nname = \"a\"\nsettings = \"platform\"\nloop = \"own\"\n"
+            + "[[route]]\npool = \"a\"\n", Path.of("."), config), desk);
+        toClose.add(node);
+        node.start();
+        assertTrue(call("DISABLE s-9").startsWith("error"));
+        assertEquals("done\n", call("DISABLE s-0"));
+        await("node.pool_ejected:1|g");
+        int before = first.get();
+        Socket client = client(node);
+        for (int i = 0; i < 20; i++) {
+            assertEquals("200", ask(client, "t-" + i));
+        }
+        assertEquals(before, first.get());
+        await("node.ok.a.order:20|c");
+        assertEquals("done\n", call("ENABLE s-0"));
+        await("node.pool_ejected:0|g");
+        await("node.pool_size:2|g");
+    }
+
     /** Two nodes of one folder: what one is told binds the other, and the next that starts. */
     @Test
     void whoIsOutIsOutForAllProcessesOfTheNode() throws Exception {
