--- a/src/main/java/rushpin/rig/ReplaceScenario.java
+++ b/src/main/java/rushpin/rig/ReplaceScenario.java
@@ -137,8 +137,9 @@
                     Figures last = end(serving);
                     ended += serving.process.stop() == 0 ? 1 : 0;
                     all.add(last);
-                    boolean back = call(next.console, "ENABLE " + out.id).equals("done\n");
+                    // Before the call: it is in use from the moment in which that takes effect, not from its answer on.
                     yard.records.add(new Records.Told("one", out.id, from, System.nanoTime()));
+                    boolean back = call(next.console, "ENABLE " + out.id).equals("done\n");
                     boolean no = call(next.console, "DISABLE s-99").startsWith("error");
                     calls += 4;
                     good += (yes ? 1 : 0) + (ready ? 1 : 0) + (back ? 1 : 0) + (no ? 1 : 0);
