Review of long bodies: duplicates are told, health has no body, a held-back client's silence

Cause: reading the change once more. A duplicate whose body was still coming had its answer cut by a reset; a call for health with a long body met a null; a client that was kept from sending could be taken for silent in the moment in which it may go on; a figure was read across loops without being volatile.

Change: these are mended, with tests.

Seen: LongBodyTest, PassageTest and RudeClientTest pass. The test of a client that is held back passes without that change too: the moment is too short to be forced there; it does hold that a span without reading costs a client nothing.

--- a/src/main/java/rushpin/net/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -455,6 +455,8 @@
             handle(new Passage(loop, new Passage.Source() {
                 @Override
                 public void flow(boolean go) {
+                    // It was kept from sending: its silence counts from here.
+                    cameAt = System.nanoTime();
                     channel.config().setAutoRead(go);
                 }
 
@@ -503,7 +505,11 @@
             keepAlive = HttpUtil.isKeepAlive(whole);
             if (whole.uri().equals("/_health")) {
                 content.release();
-                health(whole.method());
+                if (rest == null) {
+                    health(whole.method());
+                } else {
+                    refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "a call for health has no body");
+                }
                 return;
             }
             try {
@@ -535,7 +541,6 @@
         private void refuse(HttpResponseStatus status, String why) {
             keepAlive = false;
             head = null;
-            dropUpload();
             body.take().release();
             decoder.stop();
             channel.config().setAutoRead(false);
--- a/src/main/java/rushpin/net/Passage.java
+++ b/src/main/java/rushpin/net/Passage.java
@@ -38,7 +38,8 @@
     /** On the sender's loop. */
     private int onTheWay;
     private boolean paused, ended;
-    private long progress = System.nanoTime();
+    /** Read from the taker's loop too. */
+    private volatile long progress = System.nanoTime();
     /** On the taker's loop. */
     private final ArrayDeque<ByteBuf> waiting = new ArrayDeque<>();
     private Sink sink;
--- a/src/test/java/rushpin/node/LongBodyTest.java
+++ b/src/test/java/rushpin/node/LongBodyTest.java
@@ -388,6 +388,64 @@
         assertTrue(came.isEmpty(), "the app server must not have had all of it");
     }
 
+    /** The client is kept from sending for longer than it may be silent, by a server that does not read. */
+    @Test
+    void whoIsHeldBackIsNotSilent() throws Exception {
+        BlockingQueue<byte[]> came = new LinkedBlockingQueue<>();
+        AtomicInteger pauses = new AtomicInteger();
+        Peer server = peer(m -> {
+            InputStream in = m.socket().getInputStream();
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            for (int size = Integer.parseInt(line(in), 16); size > 0; size = Integer.parseInt(line(in), 16)) {
+                all.write(in.readNBytes(size));
+                line(in);
+                if (all.size() > 100_000 && pauses.getAndIncrement() == 0) {
+                    Thread.sleep(4_000);
+                }
+            }
+            line(in);
+            came.add(all.toByteArray());
+            m.answer(Peer.ok("", "x"));
+        });
+        Socket client = client(node(server));
+        head(client, "t-1", "20000", "Transfer-Encoding: chunked");
+        byte[] all = letters(30_000_000);
+        for (int at = 0; at < all.length; at += 100_000) {
+            chunk(client.getOutputStream(), all, at, 100_000);
+        }
+        text(client, "0\r\n\r\n");
+        assertEquals("200", status(Peer.read(client)));
+        assertArrayEquals(all, came.poll(60, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void aCallForHealthWithALongBodyIsTurnedAway() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        Socket client = client(node(server));
+        text(client, "GET /_health HTTP/1.1\r\nHost: x\r\nContent-Length: 400000\r\n\r\n");
+        client.getOutputStream().write(letters(300_000));
+        assertEquals("413", status(Peer.read(client)));
+    }
+
+    /** Its id is open on another connection: it is told so, though its body is still on the way. */
+    @Test
+    void aDuplicateWithItsBodyOnTheWayIsTold() throws Exception {
+        CountDownLatch may = new CountDownLatch(1);
+        Peer server = peer(m -> {
+            may.await(60, TimeUnit.SECONDS);
+            m.answer(Peer.ok("", "x"));
+        });
+        EdgeNode node = node(server);
+        Socket first = client(node), second = client(node);
+        order(first, "same");
+        server.next();
+        head(second, "same", "20000", "Content-Length: 900000");
+        second.getOutputStream().write(letters(300_000));
+        assertEquals("409", status(Peer.read(second)));
+        may.countDown();
+        assertEquals("200", status(Peer.read(first)));
+    }
+
     @Test
     void aBodyThatStopsIsLetGo() throws Exception {
         Peer server = peer(m -> m.answer(Peer.ok("", "x")));
