The console takes a port from the system and says which

Change: a port of 0 for the console, a line 'console on ADDRESS' before all others; rig and tests read both ports there.

--- a/src/main/java/rushpin/cli/Main.java
+++ b/src/main/java/rushpin/cli/Main.java
@@ -92,7 +92,7 @@
             if (console != null) {
                 desk.set(Desk.in(Path.of(folder).resolve("rushpin")));
                 // Operators are answered from the start on, though it be that nothing is ready.
-                new Console(console, desk.get(), serving::get);
+                System.out.println("console on " + new Console(console, desk.get(), serving::get).address());
             }
             if (operator != null) {
                 // A fault is told before the rehearsal, not after it.
--- a/src/main/java/rushpin/rig/NodeProcess.java
+++ b/src/main/java/rushpin/rig/NodeProcess.java
@@ -39,6 +39,7 @@
     private final Process process;
     private final Deque<String> said = new ArrayDeque<>();
     private final CompletableFuture<InetSocketAddress> serving = new CompletableFuture<>();
+    private volatile int console;
     private final long startedAt = System.nanoTime();
     private long readyAfter;
 
@@ -103,10 +104,11 @@
                         said.poll();
                     }
                 }
-                if (line.startsWith("serving on ")) {
+                if (line.startsWith("console on ")) {
+                    console = port(line);
+                } else if (line.startsWith("serving on ")) {
                     readyAfter = System.nanoTime() - startedAt;
-                    int colon = line.lastIndexOf(':');
-                    serving.complete(new InetSocketAddress("127.0.0.1", Integer.parseInt(line.substring(colon + 1))));
+                    serving.complete(new InetSocketAddress("127.0.0.1", port(line)));
                 }
             }
         } catch (IOException e) {
@@ -115,10 +117,19 @@
         serving.completeExceptionally(new IOException("it ended"));
     }
 
+    private static int port(String line) {
+        return Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+    }
+
     InetSocketAddress address() {
         return serving.join();
     }
 
+    /** The port of its console, once it serves; 0 for none. */
+    int console() {
+        return console;
+    }
+
     long pid() {
         return process.pid();
     }
--- a/src/main/java/rushpin/rig/ReplaceScenario.java
+++ b/src/main/java/rushpin/rig/ReplaceScenario.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -76,12 +75,6 @@
         return "a node's process replaced under load, servers out by hand, settings taken again; figures against what was seen";
     }
 
-    private static int free() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
     private static String call(int console, String line) throws IOException {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), console)) {
             socket.setSoTimeout(10_000);
@@ -99,9 +92,12 @@
         List<RigConfig.Plan> plans = List.of(BULK, BASIC);
         try (Yard yard = new Yard()) {
             Discovery discovery = yard.pool("one", SERVERS, work, options.seed());
-            int listen = free();
-            String json = RigConfig.json("rig", "127.0.0.1:" + listen, 0, 1024, 1, discovery, yard.counter, plans);
-            Running serving = start(yard, json, 0);
+            // Both ports from the system; the next processes share the first one's.
+            String any = RigConfig.json("rig", "127.0.0.1:0", 0, 1024, 1, discovery, yard.counter, plans)
+                .replaceFirst("\\{", "{\"console\" : \"127.0.0.1:0\",");
+            Running serving = start(yard, any, 0);
+            String json = any.replaceFirst("\"listen\" : \"127.0.0.1:0\"",
+                "\"listen\" : \"127.0.0.1:" + serving.process.address().getPort() + "\"");
             Load bulk = new Load(yard.loop(), new Load.Group("one", "app.svc", "/api?slot=1", 0.35, 20, "bulk", 2_000, 150,
                 true), serving.process.address(), yard.records, options.seed());
             Load basic = new Load(yard.loop(), new Load.Group("one", "app.svc", "/api?slot=1", 0.35, 12, "basic", 2_000,
@@ -124,7 +120,7 @@
                     long from = System.nanoTime();
                     boolean broken = i % 2 == 0;
                     String changed = json.replace("\"max-attempts\" : 6", "\"max-attempts\" : " + (broken ? 0 : 3 + i % 3));
-                    yard.write(serving.config.getFileName().toString(), console(changed, serving.console));
+                    yard.write(serving.config.getFileName().toString(), changed);
                     serving.process.signal("HUP");
                     applied += broken ? 0 : 1;
                     rejected += broken ? 1 : 0;
@@ -188,14 +184,10 @@
         return report;
     }
 
-    private static String console(String json, int port) {
-        return json.replaceFirst("\\{", "{\"console\" : \"127.0.0.1:" + port + "\",");
-    }
-
     private static Running start(Yard yard, String json, int number) throws Exception {
-        int port = free();
-        Path config = yard.write("node-" + number + ".json", console(json, port));
-        return new Running(NodeProcess.serve(yard.folder, config, null), port, config);
+        Path config = yard.write("node-" + number + ".json", json);
+        NodeProcess process = NodeProcess.serve(yard.folder, config, null);
+        return new Running(process, process.console(), config);
     }
 
     /** Ends a process and listens to its figures until it is gone. */
--- a/src/test/java/rushpin/node/Daemon.java
+++ b/src/test/java/rushpin/node/Daemon.java
@@ -66,8 +66,17 @@
         throw new AssertionError("the process ended before it said '" + start + "': " + said);
     }
 
+    /** The port of its console, which it says before it serves. */
+    int console() throws IOException {
+        return port("console on");
+    }
+
     int port() throws IOException {
-        String line = await("serving on");
+        return port("serving on");
+    }
+
+    private int port(String start) throws IOException {
+        String line = await(start);
         return Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
     }
 
--- a/src/test/java/rushpin/node/RetuneNodeTest.java
+++ b/src/test/java/rushpin/node/RetuneNodeTest.java
@@ -120,9 +120,9 @@
     void aBrokenFileChangesNothingAndIsCounted() throws Exception {
         Peer server = peer(m -> m.answer(Peer.ok("", "x")));
         String good = config(member("s-0", server.address(), "Ready", 0));
-        int console = Daemon.free();
-        String with = good.replaceFirst("\"listen\"", "\"console\": \"127.0.0.1:" + console + "\", \"listen\"");
+        String with = good.replaceFirst("\"listen\"", "\"console\": \"127.0.0.1:0\", \"listen\"");
         try (Daemon daemon = new Daemon(folder, with, null)) {
+            int console = daemon.console();
             Socket client = new Socket("127.0.0.1", daemon.port());
             toClose.add(client);
             client.setSoTimeout(60_000);
--- a/src/test/java/rushpin/node/UpgradeTest.java
+++ b/src/test/java/rushpin/node/UpgradeTest.java
@@ -20,9 +20,9 @@
     @TempDir
     Path folder;
 
-    private Daemon process(String config, int listen, int console) throws Exception {
+    private Daemon process(String config, int listen) throws Exception {
         Daemon daemon = new Daemon(folder, config.replaceFirst("\"listen\": *\"[^\"]*\"",
-            "\"listen\": \"127.0.0.1:" + listen + "\", \"console\": \"127.0.0.1:" + console + "\""), null);
+            "\"listen\": \"127.0.0.1:" + listen + "\", \"console\": \"127.0.0.1:0\""), null);
         toClose.add(daemon);
         return daemon;
     }
@@ -36,9 +36,8 @@
         });
         Peer b = peer(m -> m.answer(Peer.ok("", "b")));
         String config = config(member("s-0", a.address(), "Ready", 0), member("s-1", b.address(), "Ready", 0));
-        int listen = Daemon.free(), first = Daemon.free(), second = Daemon.free();
-        Daemon old = process(config, listen, first);
-        old.port();
+        Daemon old = process(config, 0);
+        int first = old.console(), listen = old.port();
         assertEquals("done\n", call(first, "READY"));
         assertEquals("done\n", call(first, "DISABLE s-0"));
         int before = banned.get();
@@ -63,7 +62,8 @@
             }
         }, "clients");
         clients.start();
-        Daemon fresh = process(config, listen, second);
+        Daemon fresh = process(config, listen);
+        int second = fresh.console();
         fresh.port();
         for (int i = 0; !call(second, "READY").equals("done\n"); i++) {
             assertTrue(i < 600, "the new process never took clients");
