A part of each ceiling is drawn through the counter in fleets beyond three

Counts by reason in the node (a probe, not kept): most were ceilings. What one gateway of a set does not need was no use to the others.

Change: beyond three gateways (in full from seven on) half of a ceiling is a pool that is drawn through the counter before the send, in windows of burst / (3 rate); each window grants a sixth of the burst, so that two windows back to back and one loss of the counter stay under the ceiling with the part dealt out (the sum stands in the code). The rest is dealt out as before, and all of it where there is no counter.

Ruled out: concurrency level (26, 5 to 26 out), the queue (no request ended there), servers (att/r 0.7).

--- a/src/main/java/rushpin/gateway/Gateway.java
+++ b/src/main/java/rushpin/gateway/Gateway.java
@@ -19,11 +19,13 @@
     /** How often fresh use is pushed, and for how long no call is answered by a counter that is silent. */
     private static final long PUSH = SECOND / 4, SILENT_AFTER = SECOND / 2;
     /** Calls to the counter a second at first, by all gateways and by one at least: few leave all to luck. */
-    private static final double CALLS_START = 100, CALLS_LEAST = 2;
+    private static final double CALLS_START = 400, CALLS_LEAST = 2;
     /** Their growth, faster by the second, and its step down. */
     private static final double CALLS_UP = 0.02, CALLS_MOST_UP = 0.25, CALLS_DOWN = 0.7, CALLS_BACK = 0.5;
     /** So many calls in a row without an answer, and for so long, are a silent counter and no accident. */
     private static final int UNANSWERED = 3;
+    /** The part of a ceiling that is drawn through the counter: none for so few gateways, all for so many. */
+    private static final double POOL = 0.5, POOL_FROM = 3, POOL_FULL = 7;
     /** The operator's limit on concurrency: requests in flight for each listed server, over all gateways. */
     private static final double OPEN_PER_SERVER = 6;
     /** The estimator's memory of some 50 intervals, and the bound on its trace in a quiet spell. */
@@ -361,7 +363,8 @@
     /** How many customers and servers are remembered. */
     int remembered() { return customers.size() + servers.size(); }
 
-    private record Call(Customer customer, long window, double amount, Job job, long at) { }
+    /** A call that adds use to the quota's count, or one that asks for a part of the ceiling's pool. */
+    private record Call(Customer customer, long window, double amount, Job job, long at, boolean pool) { }
 
     /** Spreads numbers that lie close together over all long values. */
     private static long mix(long z) { return new SplittableRandom(z).nextLong(); }
@@ -379,6 +382,11 @@
         private double store, othersRate, foreseen, unpushed, ceiling;
         private boolean deaf;
         private int open, jobs, asked;
+        /** The part of the ceiling dealt out here; the pool's windows, what each grants, its use as heard. */
+        private final double dealtRate, dealtBurst, poolMost;
+        private final long poolSpan;
+        private long poolWindow;
+        private double poolUsed;
 
         Customer(long key, int plan, int setSize) {
             this.key = key;
@@ -392,6 +400,18 @@
             double full = this.plan.rate() > 0 ? store / this.plan.rate() : 1;
             span = (long) (Math.min(30, Math.max(1, full)) * SECOND);
             phase = Math.floorMod(mix(key), span);
+            // A ceiling dealt out whole starts at nothing at each gateway that starts, and what one does not
+            // need is no use to the others. So a part is a pool, drawn before the send. In n windows, which
+            // lie (n - 2) spans apart, and over one loss of the counter, (n + 1) poolMost are granted: with
+            // 3 poolMost + dealt burst = burst that stays under the ceiling.
+            double ceilingBurst = this.plan.ceilingBurst(), ceilingRate = this.plan.ceilingRate();
+            double large = Math.max(0, Math.min(1, (cfg.siblings() - POOL_FROM) / (POOL_FULL - POOL_FROM)));
+            boolean pooled = cfg.counter().present() && ceilingRate > 0 && ceilingBurst > 0 && large > 0;
+            double dealt = pooled ? 1 - POOL * large : 1;
+            dealtRate = ceilingRate * dealt / gateways;
+            dealtBurst = ceilingBurst * dealt / gateways;
+            poolMost = ceilingBurst * (1 - dealt) / 3;
+            poolSpan = pooled ? (long) (ceilingBurst / ceilingRate / 3 * SECOND) : 0;
             // A restarted gateway cannot know what it spent under the ceiling: that starts with nothing.
             refilled = born;
             heard = now - 2 * span;
@@ -407,8 +427,7 @@
                 deaf ? plan.rate() : othersRate);
             foreseen += others;
             store = Math.min(plan.burst(), store + s * plan.rate() - others);
-            double parts = gateways * processes;
-            ceiling = Math.min(plan.ceilingBurst() / parts, ceiling + s * plan.ceilingRate() / parts);
+            ceiling = Math.min(dealtBurst / processes, ceiling + s * dealtRate / processes);
         }
 
         /** Whether this says no more than nothing does: customers are ever new, and many come only once. */
@@ -417,7 +436,7 @@
             if (jobs + asked > 0 || idle < 2 * span + REMEMBER || active.contains(this)) { return false; }
             refill();
             boolean full = idle * NANO * plan.rate() >= plan.burst()
-                && ceiling >= plan.ceilingBurst() / (gateways * processes);
+                && ceiling >= dealtBurst / processes;
             if (full) { drop(); }
             return full;
         }
@@ -426,11 +445,44 @@
         void admit(Job job) {
             refill();
             double units = job.request.units();
-            // The ceiling holds whatever the others do: each gateway keeps to its part of rate and burst.
+            // The ceiling holds whatever the others do: each keeps to its part, or is granted more first.
             if (plan.ceilingRate() > 0 && ceiling < units) {
-                refuse(job, (units - ceiling) * gateways / plan.ceilingRate());
+                if (!askPool(job, units - ceiling)) { refuse(job, (units - ceiling) / dealtRate); }
                 return;
             }
+            admitUnder(job, units);
+        }
+
+        /** Whether the counter is asked for so many more units under the ceiling. */
+        private boolean askPool(Job job, double lack) {
+            // What the quota would refuse all the same is not worth a call.
+            boolean spent = plan.rate() > 0 && store < 0 && !deaf && plan.beyondEarns() <= plan.beyondCosts();
+            boolean late = now + 2 * cfg.counter().timeout() >= job.aimAt();
+            if (poolSpan < SECOND / 10 || spent || late) { return false; }
+            long index = Math.floorDiv(now + shift + phase, poolSpan);
+            if (poolWindow != index) { poolUsed = 0; }
+            poolWindow = index;
+            if (poolUsed + lack > poolMost || !mayCall(1)) { return false; }
+            double amount = Math.ceil(Math.max(lack, poolMost / gateways) * 1e6) * 1e-6;
+            long name = mix(mix(~key) + index) >>> 1;
+            job.asking = true;
+            Call call = new Call(this, index, amount, job, now, true);
+            calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(call);
+            asked++;
+            out.count(key, name, amount, 2 * poolSpan);
+            return true;
+        }
+
+        /** The room that was left under the pool's window is this gateway's, up to what it asked for. */
+        private void granted(Call call, double total) {
+            long index = Math.floorDiv(now + shift + phase, poolSpan);
+            if (call.window != poolWindow || call.window != index) { return; }
+            // No total is believed that lacks what was seen before: an empty counter knows less than this.
+            poolUsed = Math.max(total, poolUsed + call.amount);
+            ceiling += Math.max(0, Math.min(call.amount, poolMost - (poolUsed - call.amount)));
+        }
+
+        private void admitUnder(Job job, double units) {
             ceiling -= units;
             take(units);
             job.taken = true;
@@ -523,7 +575,7 @@
             pushAt = now + (store < plan.burst() / 2 ? PUSH : SECOND);
             unpushed = 0;
             long name = mix(mix(key) + index) >>> 1;
-            Call call = new Call(this, window, amount, job, now);
+            Call call = new Call(this, window, amount, job, now, false);
             calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(call);
             asked++;
             out.count(key, name, amount, 2 * span);
@@ -531,6 +583,12 @@
 
         void counted(Call call, Outcome outcome, double total) {
             asked--;
+            refill();
+            if (call.pool) {
+                if (outcome == Outcome.OK) { granted(call, total); }
+                conclude(call, outcome == Outcome.OK);
+                return;
+            }
             if (outcome.provesNeverRan()) {
                 unpushed += call.amount;
                 told[place] -= call.amount;
@@ -539,7 +597,6 @@
                 // Without an answer it may have been added; if not, the next total looks like lost counts.
                 mine += call.amount;
             }
-            refill();
             if (outcome == Outcome.OK && call.window == window) { learn(call, total); }
             conclude(call, outcome == Outcome.OK);
         }
@@ -550,6 +607,13 @@
             job.asking = false;
             if (job.over) {
                 forget(job);
+            } else if (call.pool) {
+                double units = job.request.units();
+                if (ceiling < units || job.hopeless()) {
+                    refuse(job, (units - ceiling) / dealtRate);
+                } else {
+                    admitUnder(job, units);
+                }
             } else {
                 if (!answered) { divide(); }
                 decide(job, answered ? 0 : othersRate * PUSH * NANO);
--- a/src/test/java/rushpin/gateway/Host.java
+++ b/src/test/java/rushpin/gateway/Host.java
@@ -45,6 +45,8 @@
     /** Units by customer that were taken and that no call has told. */
     final Map<Long, Double> untold = new HashMap<>();
     final List<String> logs = new ArrayList<>();
+    /** What each request takes. */
+    final Map<String, Double> units = new HashMap<>();
     /** Units under ceilings that went to another process. */
     final List<Double> gave = new ArrayList<>();
     final Gateway gateway;
@@ -100,6 +102,7 @@
 
     String request(int requestClass, int plan, long customer, double units, long deadline) {
         String id = "r" + ids++;
+        this.units.put(id, units);
         gateway.request(now, new Request(id, requestClass, plan, customer, deadline, units, setSize, 0, false));
         return id;
     }
