Settings and lists are read without the object mapper; pushes rank with questions

Cause: nodes of a large fleet start all at once, on a third of a core each; of some 0.32 s of CPU time to the console 0.08 s went into JSON's object mapper, 0.055 s of that into calendars of a locale (log of class loading). Pushes of use ranked below questions and were starved while calls were scarce: a node that asks often told little.

A push has the stake of a usual question.

Tried and taken back: the concurrency level up to twice the operator's limit where answers are fast.

--- a/src/main/java/rushpin/config/Config.java
+++ b/src/main/java/rushpin/config/Config.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.file.Files;
@@ -16,6 +16,7 @@
 import java.util.TreeSet;
 import rushpin.gateway.Ports.Settings;
 import rushpin.gateway.SettingsReader;
+import rushpin.membership.Json;
 import rushpin.membership.Names;
 import rushpin.membership.Roll;
 import rushpin.membership.discovery.RollReader;
@@ -47,7 +48,6 @@
             null, Set.of());
     }
 
-    private static final ObjectMapper JSON = new ObjectMapper();
 
     /** A configuration that cannot be used; the message is one plain line that names the key. */
     public static final class Invalid extends Exception {
@@ -113,9 +113,11 @@
     /** Reads a configuration's text, for a pool or for the whole process. */
     private static Config parse(String text, boolean pool) throws Invalid {
         try {
-            return parse(JSON.readTree(text), pool);
+            return parse(Json.read(text), pool);
         } catch (JsonProcessingException e) {
             throw new Invalid("the configuration is not JSON: " + e.getOriginalMessage().replace('\n', ' '));
+        } catch (IOException e) {
+            throw new Invalid("the configuration cannot be read: " + e.getMessage());
         } catch (RollReader.Malformed e) {
             throw new Invalid(e.getMessage());
         }
@@ -231,7 +233,7 @@
             return file.console();
         }
         try {
-            return RollReader.address(JSON.createObjectNode().put("GW_CONSOLE", environment), "GW_CONSOLE");
+            return RollReader.address(JsonNodeFactory.instance.objectNode().put("GW_CONSOLE", environment), "GW_CONSOLE");
         } catch (RollReader.Malformed e) {
             throw new Invalid(e.getMessage());
         }
--- a/src/main/java/rushpin/gateway/Gateway.java
+++ b/src/main/java/rushpin/gateway/Gateway.java
@@ -24,8 +24,10 @@
     private static final double CALLS_UP = 0.02, CALLS_MOST_UP = 0.25, CALLS_DOWN = 0.7, CALLS_BACK = 0.5;
     /** So many calls in a row without an answer, and for so long, are a silent counter and no accident. */
     private static final int UNANSWERED = 3;
-    /** The part of a ceiling that is drawn through the counter: none for so few gateways, all for so many. */
-    private static final double POOL = 0.5, POOL_FROM = 3, POOL_FULL = 7;
+    /** So few gateways are a small fleet, so many a large one; what is for large ones grows in between. */
+    private static final double SMALL = 3, LARGE = 7;
+    /** The part of a ceiling that is drawn through the counter in a large fleet; none in a small one. */
+    private static final double POOL = 0.5;
     /** The operator's limit on concurrency: requests in flight for each listed server, over all gateways. */
     private static final double OPEN_PER_SERVER = 6;
     /** The estimator's memory of some 50 intervals, and the bound on its trace in a quiet spell. */
@@ -360,6 +362,9 @@
         shift = ahead;
     }
 
+    /** 0 for a small fleet, 1 for a large one. */
+    private double large() { return Math.max(0, Math.min(1, (cfg.siblings() - SMALL) / (LARGE - SMALL))); }
+
     /** How many customers and servers are remembered. */
     int remembered() { return customers.size() + servers.size(); }
 
@@ -405,9 +410,8 @@
             // lie (n - 2) spans apart, and over one loss of the counter, (n + 1) poolMost are granted: with
             // 3 poolMost + dealt burst = burst that stays under the ceiling.
             double ceilingBurst = this.plan.ceilingBurst(), ceilingRate = this.plan.ceilingRate();
-            double large = Math.max(0, Math.min(1, (cfg.siblings() - POOL_FROM) / (POOL_FULL - POOL_FROM)));
-            boolean pooled = cfg.counter().present() && ceilingRate > 0 && ceilingBurst > 0 && large > 0;
-            double dealt = pooled ? 1 - POOL * large : 1;
+            boolean pooled = cfg.counter().present() && ceilingRate > 0 && ceilingBurst > 0 && large() > 0;
+            double dealt = pooled ? 1 - POOL * large() : 1;
             dealtRate = ceilingRate * dealt / gateways;
             dealtBurst = ceilingBurst * dealt / gateways;
             poolMost = ceilingBurst * (1 - dealt) / 3;
@@ -560,7 +564,7 @@
             if (!fresh) {
                 drop();
                 active.remove(this);
-            } else if (now >= pushAt && mayCall(0.25)) {
+            } else if (now >= pushAt && mayCall(1)) {
                 call(null);
             }
         }
--- a/src/main/java/rushpin/membership/discovery/RollReader.java
+++ b/src/main/java/rushpin/membership/discovery/RollReader.java
@@ -2,20 +2,19 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import rushpin.gateway.Ports.Readiness;
 import rushpin.gateway.Ports.Server;
+import rushpin.membership.Json;
 import rushpin.membership.Member;
 import rushpin.membership.Names;
 import rushpin.membership.Roll;
 
 /** Reads the messages of the platform's discovery. No sockets: text in, values out. */
 public final class RollReader {
-    private static final ObjectMapper JSON = new ObjectMapper();
-
     /** A message that cannot be used; the text is one plain line that names the key. */
     public static final class Malformed extends Exception {
         private static final long serialVersionUID = 1L;
@@ -32,9 +31,11 @@
     /** Reads one line of discovery. */
     public static Roll read(String line, Names names) throws Malformed {
         try {
-            return read(JSON.readTree(line), names);
+            return read(Json.read(line), names);
         } catch (JsonProcessingException e) {
             throw new Malformed("discovery's message is not JSON: " + e.getOriginalMessage().replace('\n', ' '));
+        } catch (IOException e) {
+            throw new Malformed("discovery's message cannot be read: " + e.getMessage());
         }
     }
 
