A process says that it serves only once it is ready again

'A start waits for nothing in vain' let a process that is alone listen before discovery had been heard or had been silent long enough.

Change: that line of EdgeNode is as it was.

--- a/src/main/java/rushpin/node/EdgeNode.java
+++ b/src/main/java/rushpin/node/EdgeNode.java
@@ -78,9 +78,7 @@
         services.start();
         if (desk != null) {
             // Clients come at once beside another process: the list is heard first, or has been silent for long.
-            // Alone it is sent none before it says that it is ready, and those who call it meanwhile are served.
-            long end = System.nanoTime() + (desk.others() > 0 ? HEAR : 0);
-            while (!services.ready() && System.nanoTime() - end < 0) {
+            for (long end = System.nanoTime() + HEAR; !services.ready() && System.nanoTime() - end < 0;) {
                 Thread.sleep(5);
             }
             desk.beside().serve();
