Review: no window of a ceiling's pool outlasts the counter's name for it

Cause: found by reading. The counter keeps a name for 60 s at most. Where a ceiling's burst is over 180 times its rate, the pool's window was longer, its count was forgotten within it and the whole part granted again, beyond the stated bound.

Change: a window is 60 s at most and grants what the pool's rate gives in it; for shorter ones nothing changes.

--- a/src/main/java/rushpin/gateway/Gateway.java
+++ b/src/main/java/rushpin/gateway/Gateway.java
@@ -28,6 +28,8 @@
     private static final double SMALL = 3, LARGE = 7;
     /** The part of a ceiling that is drawn through the counter in a large fleet; none in a small one. */
     private static final double POOL = 0.5;
+    /** How long the counter keeps a name at most, in seconds from its first call. */
+    private static final double NAME_S = 60;
     /** The operator's limit on concurrency: requests in flight for each listed server, over all gateways. */
     private static final double OPEN_PER_SERVER = 6;
     /** The estimator's memory of some 50 intervals, and the bound on its trace in a quiet spell. */
@@ -414,8 +416,9 @@
             double dealt = pooled ? 1 - POOL * large() : 1;
             dealtRate = ceilingRate * dealt / gateways;
             dealtBurst = ceilingBurst * dealt / gateways;
-            poolMost = ceilingBurst * (1 - dealt) / 3;
-            poolSpan = pooled ? (long) (ceilingBurst / ceilingRate / 3 * SECOND) : 0;
+            // No window outlasts its name: a count that is forgotten within it would be granted anew.
+            poolSpan = pooled ? (long) (Math.min(NAME_S, ceilingBurst / ceilingRate / 3) * SECOND) : 0;
+            poolMost = ceilingRate * (1 - dealt) * poolSpan * NANO;
             // A restarted gateway cannot know what it spent under the ceiling: that starts with nothing.
             refilled = born;
             heard = now - 2 * span;
--- a/src/test/java/rushpin/gateway/CeilingPoolTest.java
+++ b/src/test/java/rushpin/gateway/CeilingPoolTest.java
@@ -51,6 +51,16 @@
         assertEquals(1, host.counted.size());
     }
 
+    /** The counter forgets a name 60 s after its first call, and would grant a longer window's part again. */
+    @Test
+    void noWindowIsLongerThanTheCounterKeepsItsName() {
+        Host host = new Host(new Plan(0, 0, 0, 1, 0, 1, 0.1, 72, 4), 14, 0).servers(4);
+        host.pass(1_000 * MS);
+        host.request(SAFE, 4);
+        assertEquals(0, host.counted.size(), "half of 0.1 units a second for 60 s is less than 4");
+        assertEquals(1, host.refused.size());
+    }
+
     @Test
     void aCallWithoutAnAnswerGrantsNothing() {
         for (Outcome outcome : List.of(Outcome.TIMEOUT, Outcome.RESET, Outcome.FULL, Outcome.CONNECT_FAILED)) {
