--- a/src/main/java/rushpin/rig/Judge.java
+++ b/src/main/java/rushpin/judge/Judge.java
@@ -1,4 +1,4 @@
-package rushpin.rig;
+package rushpin.judge;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -7,8 +7,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
-import rushpin.rig.Records.Attempt;
-import rushpin.rig.Records.Exchange;
+import rushpin.judge.Records.Attempt;
+import rushpin.judge.Records.Exchange;
 
 /** Holds the records of a run against the five rules. It knows no scenario. */
 public final class Judge {
--- a/src/main/java/rushpin/rig/Records.java
+++ b/src/main/java/rushpin/judge/Records.java
@@ -1,4 +1,4 @@
-package rushpin.rig;
+package rushpin.judge;
 
 import java.util.Collection;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -90,6 +90,16 @@
         return attempts;
     }
 
+    /** What discovery told so far. */
+    public Collection<Told> told() {
+        return told;
+    }
+
+    /** The servers that fell over so far. */
+    public Collection<Fall> falls() {
+        return falls;
+    }
+
     /** What the counter was called for so far. */
     public Collection<Counted> counted() {
         return counted;
--- a/src/main/java/rushpin/rig/AppServer.java
+++ b/src/main/java/rushpin/rig/AppServer.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import rushpin.judge.Records;
 
 /**
  * An app server: so many requests at a time, the others wait in a short line; repeats of a key are dropped for a while;
--- a/src/main/java/rushpin/rig/CostScenario.java
+++ b/src/main/java/rushpin/rig/CostScenario.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import rushpin.judge.Records;
 
 /**
  * What a request costs the node in CPU, against a bare pass-through on the same library with the same JVM options, or
--- a/src/main/java/rushpin/rig/Counter.java
+++ b/src/main/java/rushpin/rig/Counter.java
@@ -15,6 +15,7 @@
 import java.math.MathContext;
 import java.util.HashMap;
 import java.util.Map;
+import rushpin.judge.Records;
 
 /** The shared counter: adds an amount to a named number that lives for a while, and tells the total. */
 final class Counter extends StandIn {
--- a/src/main/java/rushpin/rig/DemoScenario.java
+++ b/src/main/java/rushpin/rig/DemoScenario.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import rushpin.judge.Judge;
 
 /** A newcomer's first minute: two services behind one node, a line a second, and the curl that books a pickup. */
 final class DemoScenario implements Scenario {
--- a/src/main/java/rushpin/rig/Discovery.java
+++ b/src/main/java/rushpin/rig/Discovery.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import rushpin.judge.Records;
 
 /** Discovery of one pool: a list, watches of it, and what was told when. All on its loop. */
 final class Discovery extends StandIn {
--- a/src/main/java/rushpin/rig/FleetScenario.java
+++ b/src/main/java/rushpin/rig/FleetScenario.java
@@ -16,6 +16,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
+import rushpin.judge.Judge;
+import rushpin.judge.Records;
 import rushpin.rig.FleetNode.Way;
 
 /**
--- a/src/main/java/rushpin/rig/Load.java
+++ b/src/main/java/rushpin/rig/Load.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.HdrHistogram.Histogram;
+import rushpin.judge.Records;
 
 /**
  * Clients of one pool: requests come at random moments at a rate, whether or not the ones before were answered. Times
--- a/src/main/java/rushpin/rig/PoolsScenario.java
+++ b/src/main/java/rushpin/rig/PoolsScenario.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import org.HdrHistogram.Histogram;
+import rushpin.judge.Judge;
 
 /**
  * Three pools in one node: one breaks (fails fast, then hangs), one is flooded at five times its quota, and the third
--- a/src/main/java/rushpin/rig/ReplaceScenario.java
+++ b/src/main/java/rushpin/rig/ReplaceScenario.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
+import rushpin.judge.Judge;
+import rushpin.judge.Records;
 
 /**
  * One node whose process is replaced again and again while it serves: by the console each time a server is taken out,
--- a/src/main/java/rushpin/rig/Report.java
+++ b/src/main/java/rushpin/rig/Report.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import rushpin.judge.Judge;
 
 /** What a scenario measured, what it claims, and which rules were broken. */
 public final class Report {
--- a/src/main/java/rushpin/rig/RigConfig.java
+++ b/src/main/java/rushpin/rig/RigConfig.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import rushpin.judge.Judge;
 
 /** Writes a node's configuration in the platform's form, for stand-ins of this process. */
 final class RigConfig {
--- a/src/main/java/rushpin/rig/Yard.java
+++ b/src/main/java/rushpin/rig/Yard.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import rushpin.judge.Records;
 
 /** The outside world of a run: pools of app servers with their discovery, one counter, a folder for files. */
 final class Yard implements AutoCloseable {
