Records of traffic: what a node saw of each request, written to Avro files where asked for

Need: the model of the fleet is fed by recorded traffic; the node kept none.

Change: rushpin.traffic holds the form, the writer, what stays on the disk and the reader; the operator's file switches it on by [records], off by default and then without a class or a thread. A pool's loop offers and never waits; what finds the queue full, goes beyond the allowed number a second or meets a failing disk is dropped and counted, and the next record says how many. Customers stand there by an HMAC under the operator's key. Calls to the counter that are out leave Pool for a class of their own.

Measured: files cut short are read up to their last whole block (the library says nothing of a block without its end, so the reader compares positions); another version, noise, an odd request and a clock set back are each named. Tests of the traffic, the rooms and the operator's file pass. The cost a request is not measured yet.

--- a/src/main/java/rushpin/config/Operator.java
+++ b/src/main/java/rushpin/config/Operator.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import rushpin.route.Route;
+import rushpin.traffic.Keeping;
 
 /**
  * The operator's file, checked whole.
@@ -12,8 +13,10 @@
  * @param total what the process deals out to its pools
  * @param pools the pools, each name once
  * @param routes which requests go to which of them, without ties
+ * @param records where traffic is written down; null for nowhere
  */
-public record Operator(Listener listener, Path state, Grants total, List<PoolPlan> pools, List<Route> routes) {
+public record Operator(Listener listener, Path state, Grants total, List<PoolPlan> pools, List<Route> routes,
+                       Keeping records) {
     /** Whose listening socket the process serves on. */
     public enum Listener {
         /** Its own, and nobody else's. */
--- a/src/main/java/rushpin/config/OperatorFile.java
+++ b/src/main/java/rushpin/config/OperatorFile.java
@@ -27,6 +27,8 @@
 import rushpin.route.Reading;
 import rushpin.route.Route;
 import rushpin.route.RouteTable;
+import rushpin.traffic.Keeping;
+import rushpin.traffic.Recorder;
 
 /**
  * Reads the operator's file (TOML 1.0) and the settings it names, whole: all faults are told at once, and with one of
@@ -87,6 +89,7 @@
             List.of("own", "reuseport", "inherited")).toUpperCase(Locale.ROOT));
         String state = process.text("state", false);
         process.done();
+        Keeping records = root.has("records") ? records(root.table("records")) : null;
         List<Keys> tables = root.tables("pool", MOST_POOLS);
         if (tables.isEmpty()) {
             root.fault("pool", "there is none", "one table [[pool]] for each service, " + MOST_POOLS + " at most");
@@ -111,7 +114,26 @@
             faults.sort((a, b) -> Integer.compare(a.line(), b.line()));
             throw new Operator.Faulty(faults);
         }
-        return new Operator(listener, state == null ? null : folder.resolve(state), total, List.copyOf(plans), List.copyOf(routes));
+        return new Operator(listener, state == null ? null : folder.resolve(state), total, List.copyOf(plans),
+            List.copyOf(routes), records);
+    }
+
+    /** Where traffic is written down; faults are told of a key that pseudonyms can't be made with. */
+    private Keeping records(Keys at) {
+        String to = at.text("folder", true), key = at.text("pseudonym-key", true);
+        long file = at.whole("file-bytes", Keeping.FILE_BYTES, 1L << 16, 1L << 30);
+        long most = at.whole("most-bytes", Keeping.MOST_BYTES, 1L << 18, MOST);
+        int perSecond = (int) at.whole("most-per-second", Keeping.MOST_PER_SECOND, 1, 1_000_000);
+        if (most < 3 * file) {
+            at.fault("most-bytes", "found " + most, "three times records.file-bytes, " + 3 * file + ", or more");
+        }
+        String why = key == null ? null : Recorder.fault(folder.resolve(key));
+        if (why != null) {
+            at.fault("pseudonym-key", key + " " + why, "a file of 16 bytes or more, the same at all nodes");
+        }
+        at.done();
+        return to == null || key == null ? null
+            : new Keeping(folder.resolve(to), folder.resolve(key), file, most, perSecond);
     }
 
     private static Grants grants(Keys at, Grants otherwise, Grants most) {
--- a/src/main/java/rushpin/node/Pool.java
+++ b/src/main/java/rushpin/node/Pool.java
@@ -5,7 +5,6 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -42,6 +41,7 @@
 import rushpin.net.xds.LastGood;
 import rushpin.net.xds.XdsSource;
 import rushpin.quota.UseRecord;
+import rushpin.traffic.Entry;
 
 /**
  * One service: its module, its requests, its servers and its counter names. It carries what happens on the sockets to
@@ -96,10 +96,9 @@
     /** Where use is kept over a hard kill, and calls to the counter that are out, by name in their order; else null. */
     private UseStore use;
     private Future<?> adoption;
-    private final Map<Long, ArrayDeque<Telling>> tellings = new HashMap<>();
-
-    private record Telling(long customer, double units) {
-    }
+    private Tellings tellings;
+    /** Follows requests for the records; null for none. */
+    private Tap tap;
 
     /** Opens nothing yet; {@code claims} is null where the list is nobody else's concern. */
     Pool(PoolPlan plan, EventLoop loop, Clock clock, Budgets budgets, DiscoveryClient.Listener claims) {
@@ -123,6 +122,11 @@
         names().classes().forEach(name -> desk.counts().of(figure(name)));
     }
 
+    /** Has its requests followed for the records; before the start. */
+    void record(Tap with) {
+        tap = with;
+    }
+
     /** What a class is called in the figures: where there are several pools, behind its pool. */
     private String figure(String className) {
         return plan.name().isEmpty() ? className : plan.name() + "." + className;
@@ -246,6 +250,7 @@
             : UseStore.open(state, node, plan.name(), System.currentTimeMillis(), this::log);
         if (opened != null) {
             use = opened.store();
+            tellings = new Tellings(use.book());
             restore(opened.untold());
             adoption = loop.scheduleAtFixedRate(() -> restore(use.adopt(System.currentTimeMillis())), ADOPT, ADOPT,
                 TimeUnit.NANOSECONDS);
@@ -508,6 +513,9 @@
         if (closed || mostOpen > 0 && open.size() >= mostOpen || dropped > 0 && drops() || !budgets.take(taken)) {
             // Nothing was sent for it, and its pool is full or has just gone: to come again is harmless.
             answer(taken, Counts.OfClass::refused).refused(Budgets.COME_BACK);
+            if (tap != null) {
+                tap.turnedAway(taken, names.plans(), now());
+            }
             taken.settle();
             return;
         }
@@ -517,6 +525,9 @@
             taken.settle();
             return;
         }
+        if (tap != null) {
+            tap.began(taken, now());
+        }
         // Read after a stall, it may have waited for as long as that.
         taken.hurry(stalls.age(now()));
         long left = lastMoment(taken) - now();
@@ -539,6 +550,7 @@
     @Override
     public void clientGone(OpenRequest gone) {
         if (answer(gone, uncounted -> { }) != null) {
+            note(gone, Entry.End.GONE);
             settle(gone);
             event(gone, now -> gateway.clientGone(now, gone.request().id()));
         }
@@ -547,6 +559,7 @@
     @Override
     public void attemptEnded(OpenRequest of, Outcome outcome, long took, String server, double units, ByteBuf body) {
         of.attemptEnds();
+        noteAttempt(of, outcome, units);
         int attempt = of.attempts() - 1;
         // After a stall answers are read before the backstop has its turn: what comes too late was not served.
         if (outcome == Outcome.OK && now() > lastMoment(of)) {
@@ -554,6 +567,7 @@
         } else if (outcome == Outcome.OK) {
             OpenRequest.Answers answers = answer(of, Counts.OfClass::served);
             if (answers != null) {
+                note(of, Entry.End.SERVED);
                 answers.served(body);
             }
         }
@@ -585,6 +599,7 @@
     @Override
     public void answerBegins(OpenRequest of, long took, String server, double units, Passage passage, long length) {
         of.attemptEnds();
+        noteAttempt(of, Outcome.OK, units);
         int attempt = of.attempts() - 1;
         if (now() > lastMoment(of)) {
             fail(of);
@@ -593,6 +608,7 @@
         if (answers == null) {
             passage.stop();
         } else {
+            note(of, Entry.End.SERVED);
             answers.begun(passage, length, whole -> ended(of, whole ? Counts.OfClass::served : Counts.OfClass::failed));
         }
         event(of, now -> gateway.attemptEnded(now,
@@ -608,20 +624,30 @@
     }
 
     private void counted(long name, Outcome outcome, double total) {
-        ArrayDeque<Telling> line = use == null ? null : tellings.get(name);
-        Telling told = line == null ? null : line.poll();
-        if (told != null) {
-            if (line.isEmpty()) {
-                tellings.remove(name);
-            }
-            use.book().told(told.customer, told.units, !outcome.provesNeverRan(), System.currentTimeMillis());
+        if (use != null) {
+            tellings.ended(name, outcome, System.currentTimeMillis());
         }
         event(null, now -> gateway.counted(now, name, outcome, total));
     }
 
+    private void note(OpenRequest of, Entry.End end) {
+        if (tap != null) {
+            tap.answered(of, end, now());
+        }
+    }
+
+    private void noteAttempt(OpenRequest of, Outcome outcome, double units) {
+        if (tap != null) {
+            tap.attemptEnded(of, outcome, units, now());
+        }
+    }
+
     /** Forgets a request once it is answered and no attempt of it is out. */
     private void settle(OpenRequest of) {
         if (of.isAnswered() && !of.isAttemptOut() && open.remove(of.request().id(), of)) {
+            if (tap != null) {
+                tap.settled(of, names.plans());
+            }
             budgets.give(of);
             of.settle();
             endIfDone();
@@ -638,6 +664,9 @@
             return;
         }
         of.attemptBegins();
+        if (tap != null) {
+            tap.sent(of, server, now());
+        }
         long wait = stalls.left(now());
         if (wait == 0) {
             servers.send(of, server, patience);
@@ -660,6 +689,7 @@
         OpenRequest of = open.get(id);
         OpenRequest.Answers answers = of == null ? null : answer(of, Counts.OfClass::refused);
         if (answers != null) {
+            note(of, Entry.End.REFUSED);
             answers.refused(retryAfter);
             settle(of);
         }
@@ -676,6 +706,7 @@
     private void fail(OpenRequest of) {
         OpenRequest.Answers answers = answer(of, Counts.OfClass::failed);
         if (answers != null) {
+            note(of, Entry.End.FAILED);
             answers.failed();
             settle(of);
         }
@@ -688,12 +719,8 @@
 
     @Override
     public void count(long customer, long name, double amount, long lifetime) {
-        if (use != null && amount != 0) {
-            // Before the call: what is written here and never ended may have been added.
-            use.book().telling(customer, amount, System.currentTimeMillis());
-        }
         if (use != null) {
-            tellings.computeIfAbsent(name, n -> new ArrayDeque<>()).add(new Telling(customer, amount));
+            tellings.begins(customer, name, amount, System.currentTimeMillis());
         }
         counter.count(name, amount, lifetime);
     }
--- a/src/main/java/rushpin/node/PooledServices.java
+++ b/src/main/java/rushpin/node/PooledServices.java
@@ -30,6 +30,7 @@
 import rushpin.net.Refusal;
 import rushpin.route.Reading;
 import rushpin.route.RouteTable;
+import rushpin.traffic.Recorder;
 
 /**
  * The pools of an operator's file. Routes, lenders and claims belong to the listening side's loop; a pool belongs to its
@@ -57,6 +58,8 @@
     private final Map<String, Running> byKey = new HashMap<>();
     private final Lender[] lenders = new Lender[Kind.values().length];
     private final Claims claims = new Claims();
+    /** For the life of the process, like the state folder; null where nothing is recorded. */
+    private Recorder recorder;
     private Operator operator;
     private RouteTable table;
     private int generation;
@@ -86,6 +89,9 @@
 
     @Override
     public void start() throws Exception {
+        if (operator.records() != null) {
+            recorder = new Recorder(operator.records(), node, System.out::println);
+        }
         front.submit(() -> apply(operator)).get();
         // The hand-over of each pool's first list and first shares is behind these in line.
         for (Running each : List.copyOf(running.values())) {
@@ -132,6 +138,10 @@
         if (console != null) {
             pool.serveDesk(console);
         }
+        if (recorder != null) {
+            // Each pool has the whole rate: what all of them offer beyond it finds the queue full.
+            pool.record(new Tap(recorder, node, plan.name(), recorder.mostPerSecond(), System.currentTimeMillis(), clock.now()));
+        }
         Running begun = new Running(pool, key, own, budgets);
         running.put(plan.name(), begun);
         byKey.put(key, begun);
@@ -278,6 +288,9 @@
     /** Pools with a loop of their own have given what they could when the other process was first seen. */
     @Override
     public void leave() {
+        if (recorder != null) {
+            recorder.close();
+        }
         running.values().stream().filter(each -> each.own() == null).forEach(each -> each.pool().leave());
     }
 
@@ -291,6 +304,9 @@
 
     @Override
     public void close() {
+        if (recorder != null) {
+            recorder.close();
+        }
         for (Running each : running.values()) {
             each.pool().close();
             if (each.own() != null) {
--- /dev/null
+++ b/src/main/java/rushpin/traffic/Recorder.java
@@ -0,0 +1,189 @@
+package rushpin.traffic;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.apache.avro.file.CodecFactory;
+import org.apache.avro.file.DataFileWriter;
+import org.apache.avro.generic.GenericDatumWriter;
+import org.apache.avro.generic.GenericRecord;
+
+/**
+ * Writes a process's traffic. Whoever offers never waits: what finds the queue full is dropped and counted. One thread of
+ * its own writes; a block ends each second, so that no more than that is lost with the process. It does not force the disk: a machine that
+ * loses power may lose more.
+ */
+public final class Recorder implements AutoCloseable {
+    private static final int QUEUE = 4_096, BLOCK_BYTES = 32_768, DEFLATE = 1;
+    private static final long BLOCK_MS = 1_000, AGAIN_MS = 10_000, END_MS = 2_000;
+    private static final String SUFFIX = ".avro";
+
+    private final Keeping keeping;
+    private final String node;
+    private final Consumer<String> log;
+    private final Pseudonyms pseudonyms;
+    private final ArrayBlockingQueue<Entry> queue = new ArrayBlockingQueue<>(QUEUE);
+    private final AtomicLong dropped = new AtomicLong();
+    private final Thread thread = new Thread(this::work, "records");
+    private volatile boolean closing;
+    /** The thread's own. */
+    private DataFileWriter<GenericRecord> file;
+    private Path path;
+    private long againAt, blockAt, told;
+    private int serial, inBlock;
+
+    /** Begins; {@code log} is told of trouble, a line at a time. Throws if the key can't be read: pseudonyms would differ. */
+    public Recorder(Keeping keeping, String node, Consumer<String> log) throws IOException {
+        this.keeping = keeping;
+        this.node = node;
+        this.log = log;
+        pseudonyms = new Pseudonyms(Files.readAllBytes(keeping.key()));
+        Files.createDirectories(keeping.folder());
+        thread.setDaemon(true);
+        thread.setPriority(Thread.MIN_PRIORITY);
+        thread.start();
+    }
+
+    /** Why records can't be kept so, in words that name no secret; null if they can. */
+    public static String fault(Path key) {
+        try {
+            long bytes = Files.size(key);
+            return bytes >= Pseudonyms.LEAST_KEY ? null : "has " + bytes + " bytes";
+        } catch (IOException e) {
+            return "cannot be read";
+        }
+    }
+
+    /** How many requests a second a pool may offer. */
+    public int mostPerSecond() {
+        return keeping.mostPerSecond();
+    }
+
+    /** Takes it, or drops it; never waits. */
+    public void offer(Entry entry) {
+        if (closing || !queue.offer(entry)) {
+            drop();
+        }
+    }
+
+    /** One that was not even offered. */
+    public void drop() {
+        dropped.incrementAndGet();
+    }
+
+    /** How many were dropped so far. */
+    public long dropped() {
+        return dropped.get();
+    }
+
+    private void work() {
+        while (!closing || !queue.isEmpty()) {
+            try {
+                Entry entry = queue.poll(BLOCK_MS / 4, TimeUnit.MILLISECONDS);
+                if (entry != null) {
+                    write(entry);
+                }
+                if (inBlock > 0 && System.currentTimeMillis() - blockAt >= BLOCK_MS) {
+                    endBlock();
+                }
+            } catch (InterruptedException e) {
+                closing = true;
+            } catch (IOException | RuntimeException e) {
+                // The disk's trouble is not the traffic's.
+                log.accept("records: " + e + "; begun anew in " + AGAIN_MS / 1_000 + " s");
+                dropped.addAndGet(Math.max(1, inBlock));
+                abandon();
+                againAt = System.currentTimeMillis() + AGAIN_MS;
+            }
+        }
+        try {
+            if (file != null) {
+                file.close();
+            }
+        } catch (IOException e) {
+            log.accept("records: the last block is lost: " + e);
+        }
+    }
+
+    private void write(Entry entry) throws IOException {
+        if (file == null && System.currentTimeMillis() < againAt) {
+            drop();
+            return;
+        }
+        if (file == null) {
+            open();
+        }
+        long now = dropped.get();
+        file.append(Form.of(entry.written(pseudonyms.of(entry.customer()), now - told)));
+        told = now;
+        if (inBlock++ == 0) {
+            blockAt = System.currentTimeMillis();
+        }
+    }
+
+    private void endBlock() throws IOException {
+        file.flush();
+        inBlock = 0;
+        if (Retention.isFull(Files.size(path), keeping)) {
+            file.close();
+            file = null;
+        }
+    }
+
+    /** Names of one node sort by age; the process's number keeps two of one node apart. */
+    private void open() throws IOException {
+        List<Retention.Kept> kept = new ArrayList<>();
+        try (Stream<Path> all = Files.list(keeping.folder())) {
+            for (Path each : all.filter(each -> each.getFileName().toString().startsWith(prefix())).toList()) {
+                kept.add(new Retention.Kept(each.getFileName().toString(), Files.size(each)));
+            }
+        }
+        for (String name : Retention.surplus(kept, keeping)) {
+            Files.deleteIfExists(keeping.folder().resolve(name));
+        }
+        long begun = System.currentTimeMillis();
+        path = keeping.folder().resolve(String.format("%s%013d-%d-%04d%s", prefix(), begun, ProcessHandle.current().pid(),
+            serial++, SUFFIX));
+        DataFileWriter<GenericRecord> made = new DataFileWriter<>(new GenericDatumWriter<>(Form.REQUEST));
+        made.setCodec(CodecFactory.deflateCodec(DEFLATE)).setSyncInterval(BLOCK_BYTES);
+        made.setMeta(Form.VERSION_KEY, Form.VERSION).setMeta(Form.NODE_KEY, node).setMeta(Form.BEGUN_KEY, begun);
+        file = made.create(Form.REQUEST, Files.newOutputStream(path, StandardOpenOption.CREATE_NEW,
+            StandardOpenOption.WRITE));
+    }
+
+    private String prefix() {
+        return node.replaceAll("[^A-Za-z0-9._]", "_") + "-";
+    }
+
+    private void abandon() {
+        inBlock = 0;
+        DataFileWriter<GenericRecord> was = file;
+        file = null;
+        try {
+            if (was != null) {
+                was.close();
+            }
+        } catch (IOException | RuntimeException e) {
+            log.accept("records: " + path.getFileName() + " ends at its last whole block");
+        }
+    }
+
+    /** Writes what was taken, for 2 s at most. */
+    @Override
+    public void close() {
+        closing = true;
+        try {
+            thread.join(END_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/src/test/java/rushpin/ArchitectureTest.java
+++ b/src/test/java/rushpin/ArchitectureTest.java
@@ -29,12 +29,13 @@
         ROOMS.put("quota", List.of("gateway"));
         ROOMS.put("membership", List.of("gateway"));
         ROOMS.put("net", List.of("gateway", "membership", "budget"));
-        ROOMS.put("config", List.of("gateway", "membership", "route", "net"));
+        ROOMS.put("traffic", List.of());
+        ROOMS.put("config", List.of("gateway", "membership", "route", "net", "traffic"));
         ROOMS.put("node", List.of("gateway", "membership", "route", "budget", "net", "config", "quota",
-            "lifecycle", "console"));
+            "lifecycle", "console", "traffic"));
         ROOMS.put("judge", List.of());
-        ROOMS.put("rig", List.of("judge"));
-        ROOMS.put("cli", List.of("drill", "config", "node", "rig"));
+        ROOMS.put("rig", List.of("judge", "traffic"));
+        ROOMS.put("cli", List.of("drill", "config", "node", "rig", "traffic", "judge"));
     }
 
     @Test
--- a/src/test/java/rushpin/config/OperatorFileTest.java
+++ b/src/test/java/rushpin/config/OperatorFileTest.java
@@ -197,4 +197,19 @@
         only("[[pool]]\nname = \"a\"\nsettings = \"a.json\"\ndiscovery = \"127.0.0.1:1\"\n[pool.xds]\npath = \"x\"\n"
             + "[[route]]\npool = \"a\"\n", "discovery", "one source of servers");
     }
+
+    @Test
+    void recordsWantAFolderAndAKeyThatIsLongEnough() throws Exception {
+        assertNull(OperatorFile.parse(POOLS, folder, null).records());
+        Files.writeString(folder.resolve("key"), "0123456789abcdef");
+        String records = "[records]\nfolder = \"records\"\npseudonym-key = \"key\"\n";
+        assertEquals(new rushpin.traffic.Keeping(folder.resolve("records"), folder.resolve("key"), 8 << 20, 64 << 20, 2_000),
+            OperatorFile.parse(records + POOLS, folder, null).records());
+        Files.writeString(folder.resolve("key"), "0123456789abcde");
+        only(records + POOLS, "records.pseudonym-key", "has 15 bytes", "16 bytes or more");
+        only("[records]\nfolder = \"records\"\n" + POOLS, "records.pseudonym-key", "is missing");
+        Files.writeString(folder.resolve("key"), "0123456789abcdef");
+        only(records + "most-bytes = 1000000\nfile-bytes = 500000\n" + POOLS, "records.most-bytes", "1500000");
+        only(records + "keep-days = 3\n" + POOLS, "records.keep-days", "is no key here");
+    }
 }
--- /dev/null
+++ b/src/test/java/rushpin/traffic/RecorderTest.java
@@ -0,0 +1,183 @@
+package rushpin.traffic;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.stream.Stream;
+import org.apache.avro.file.DataFileWriter;
+import org.apache.avro.generic.GenericDatumWriter;
+import org.apache.avro.generic.GenericRecord;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Files as nodes write them, and what becomes of those that a crash, a disk or another version has spoilt. */
+class RecorderTest {
+    @TempDir
+    Path folder;
+    private final ConcurrentLinkedQueue<String> said = new ConcurrentLinkedQueue<>();
+    private Path key;
+
+    @BeforeEach
+    void key() throws Exception {
+        key = Files.writeString(folder.resolve("pseudonyms"), "a key of more than sixteen bytes");
+    }
+
+    private static Entry entry(String node, long at, long customer) {
+        return new Entry(node, "p", at, "lookup", "bulk", customer, 2, 3, 900_000, false, 3, 1, Entry.End.SERVED, 41_000,
+            List.of(new Entry.Try("s-1", 5, 9_000, "ERROR"), new Entry.Try("s-2", 9_100, 30_000, "OK")), 0);
+    }
+
+    private Keeping keeping(long fileBytes, long mostBytes) {
+        return new Keeping(folder.resolve("records"), key, fileBytes, mostBytes, 1_000);
+    }
+
+    private Recorder recorder(String node, Keeping keeping) throws Exception {
+        return new Recorder(keeping, node, said::add);
+    }
+
+    private List<Path> files() throws Exception {
+        try (Stream<Path> all = Files.list(folder.resolve("records"))) {
+            return all.sorted().toList();
+        }
+    }
+
+    @Test
+    void whatWasOfferedIsReadAgainUnderAPseudonymThatAllNodesShare() throws Exception {
+        for (String node : List.of("n1", "n2")) {
+            try (Recorder recorder = recorder(node, keeping(1 << 20, 1 << 24))) {
+                recorder.offer(entry(node, 2_000_000, 77));
+                recorder.offer(entry(node, 1_000_000, 78));
+            }
+        }
+        Recorded read = Recorded.read(folder.resolve("records"));
+        assertEquals(4, read.entries().size());
+        assertEquals(List.of(), read.notes());
+        Entry first = read.entries().get(0), last = read.entries().get(3);
+        assertEquals(1_000_000, first.at());
+        assertEquals(entry("n1", 1_000_000, 0).tries(), first.tries());
+        assertEquals(last.customer(), read.entries().get(2).customer());
+        assertNotEquals(77, last.customer());
+        assertNotEquals(first.customer(), last.customer());
+    }
+
+    @Test
+    void aFileCutShortIsReadUpToItsLastWholeBlock() throws Exception {
+        try (Recorder recorder = recorder("n1", keeping(1 << 20, 1 << 24))) {
+            for (int i = 0; i < 3_000; i++) {
+                recorder.offer(entry("n1", i, i));
+            }
+        }
+        Path file = files().get(0);
+        byte[] all = Files.readAllBytes(file);
+        Files.write(file, java.util.Arrays.copyOf(all, all.length - 7));
+        Recorded read = Recorded.read(folder.resolve("records"));
+        assertTrue(read.entries().size() > 0 && read.entries().size() < 3_000, "read " + read.entries().size());
+        assertTrue(read.notes().get(0).contains("last whole block"), read.notes().toString());
+    }
+
+    @Test
+    void anotherVersionIsTurnedDownByName() throws Exception {
+        Path file = Files.createDirectories(folder.resolve("records")).resolve("n1-1.avro");
+        try (DataFileWriter<GenericRecord> writer = new DataFileWriter<>(new GenericDatumWriter<>(Form.REQUEST))) {
+            writer.setMeta(Form.VERSION_KEY, 2).create(Form.REQUEST, file.toFile());
+            writer.append(Form.of(entry("n1", 1, 1)));
+        }
+        String why = assertThrows(Recorded.Unreadable.class, () -> Recorded.read(folder.resolve("records"))).getMessage();
+        assertTrue(why.contains("version 2") && why.contains("reads 1"), why);
+    }
+
+    @Test
+    void anEmptyFolderAFileOfNoiseAndAnOddRequestAreSaid() throws Exception {
+        Path records = Files.createDirectories(folder.resolve("records"));
+        assertTrue(assertThrows(Recorded.Unreadable.class, () -> Recorded.read(records)).getMessage().contains("no file"));
+        Files.writeString(records.resolve("n0-0.avro"), "noise");
+        assertTrue(assertThrows(Recorded.Unreadable.class, () -> Recorded.read(records)).getMessage().contains("no request"));
+        try (DataFileWriter<GenericRecord> writer = new DataFileWriter<>(new GenericDatumWriter<>(Form.REQUEST))) {
+            writer.setMeta(Form.VERSION_KEY, 1).create(Form.REQUEST, records.resolve("n1-1.avro").toFile());
+            writer.append(Form.of(entry("n1", 1, 1)));
+            GenericRecord odd = Form.of(entry("n1", 2, 1));
+            odd.put("end", "VANISHED");
+            writer.append(odd);
+        }
+        Recorded read = Recorded.read(records);
+        assertEquals(1, read.entries().size());
+        assertTrue(read.notes().stream().anyMatch(note -> note.contains("1 requests left out") && note.contains("VANISHED")),
+            read.notes().toString());
+    }
+
+    @Test
+    void aClockThatWasSetBackIsSaid() throws Exception {
+        for (long begin : new long[] {100_000_000, 20_000_000}) {
+            try (Recorder recorder = recorder("n1", keeping(1 << 20, 1 << 24))) {
+                recorder.offer(entry("n1", begin, 1));
+            }
+            Thread.sleep(2);
+        }
+        assertTrue(Recorded.read(folder.resolve("records")).notes().get(0).contains("begins 80 s before"));
+    }
+
+    @Test
+    void aFullQueueDropsAndTheNextRecordSaysHowMany() throws Exception {
+        Recorder recorder = recorder("n1", keeping(1 << 24, 1 << 27));
+        int offered = 200_000;
+        for (int i = 0; i < offered; i++) {
+            recorder.offer(entry("n1", i, 1));
+        }
+        recorder.close();
+        Recorded read = Recorded.read(folder.resolve("records"));
+        assertEquals(offered, read.entries().size() + recorder.dropped());
+        assertTrue(read.dropped() <= recorder.dropped(), "a drop is told once");
+        assertTrue(recorder.dropped() == 0 || read.entries().size() < offered);
+    }
+
+    @Test
+    void onlyTheNewestBytesOfANodeStayAndOthersAreLeftAlone() throws Exception {
+        Keeping small = keeping(100, 1_000);
+        assertTrue(Retention.isFull(100, small) && !Retention.isFull(99, small));
+        List<Retention.Kept> kept = List.of(new Retention.Kept("n1-2", 400), new Retention.Kept("n1-1", 400),
+            new Retention.Kept("n1-3", 400));
+        assertEquals(List.of("n1-1"), Retention.surplus(kept, small));
+        assertEquals(List.of(), Retention.surplus(kept.subList(0, 2), small));
+        Path records = Files.createDirectories(folder.resolve("records"));
+        Files.write(records.resolve("n1-0000000000001-1-0000.avro"), new byte[2_000]);
+        Files.write(records.resolve("n2-0000000000001-1-0000.avro"), new byte[2_000]);
+        try (Recorder recorder = recorder("n1", small)) {
+            recorder.offer(entry("n1", 1, 1));
+        }
+        assertFalse(Files.exists(records.resolve("n1-0000000000001-1-0000.avro")));
+        assertTrue(Files.exists(records.resolve("n2-0000000000001-1-0000.avro")));
+    }
+
+    @Test
+    void aDiskThatFailsCostsRecordsAndNothingElse() throws Exception {
+        Recorder recorder = recorder("n1", keeping(1 << 20, 1 << 24));
+        Files.delete(folder.resolve("records"));
+        recorder.offer(entry("n1", 1, 1));
+        recorder.close();
+        assertEquals(1, recorder.dropped());
+        assertTrue(said.stream().anyMatch(line -> line.contains("begun anew")), said.toString());
+    }
+
+    @Test
+    void noMoreThanTheAllowedNumberASecond() {
+        Allowance allowance = new Allowance(3);
+        int taken = 0;
+        for (long at = 0; at < 2_000_000_000L; at += 10_000_000) {
+            taken += allowance.take(at) ? 1 : 0;
+        }
+        assertEquals(6, taken);
+    }
+
+    @Test
+    void aShortKeyIsNoKey() {
+        assertThrows(IllegalArgumentException.class, () -> new Pseudonyms(new byte[15]));
+    }
+}
