--- a/src/test/java/rushpin/ArchitectureTest.java
+++ b/src/test/java/rushpin/ArchitectureTest.java
@@ -34,6 +34,7 @@
         ROOMS.put("node", List.of("gateway", "membership", "route", "budget", "net", "config", "quota",
             "lifecycle", "console", "traffic"));
         ROOMS.put("judge", List.of());
+        ROOMS.put("model", List.of("gateway", "judge"));
         ROOMS.put("rig", List.of("judge", "traffic"));
         ROOMS.put("cli", List.of("drill", "config", "node", "rig", "traffic", "judge"));
     }
@@ -65,7 +66,7 @@
     @Test
     void decidersDoNoIo() {
         noClasses().that().resideInAnyPackage("rushpin.gateway..", "rushpin.route..", "rushpin.budget..",
-            "rushpin.membership..", "rushpin.quota..", "rushpin.lifecycle..")
+            "rushpin.membership..", "rushpin.quota..", "rushpin.lifecycle..", "rushpin.model..")
             .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.nio", "java.nio.channels..",
                 "java.nio.file..", "java.util.concurrent..")
             .orShould().dependOnClassesThat().haveNameMatching("java\\.io\\.(File|.*Stream|.*Reader|.*Writer).*")
