--- a/src/main/java/rushpin/cli/Main.java
+++ b/src/main/java/rushpin/cli/Main.java
@@ -21,7 +21,7 @@
     /** How long a start's rehearsal is: so many requests, or so many milliseconds where these take longer. */
     private static final int REHEARSED = 1_000;
     private static final long REHEARSAL_MS = 2_000;
-    private static final String USAGE = "usage: rushpin.jar serve [--operator FILE] | check FILE | rig [NAME] | drill";
+    private static final String USAGE = "usage: rushpin.jar serve [--operator FILE] | check FILE | rig [NAME] | model | drill";
 
     private Main() {
     }
@@ -33,6 +33,7 @@
             case "serve" -> serve(System.getenv("GW_CONFIG"), operator(args));
             case "drill" -> Drill.main(args);
             case "check" -> Runtime.getRuntime().halt(check(args));
+            case "model" -> Runtime.getRuntime().halt(ModelCommand.run(Arrays.copyOfRange(args, 1, args.length)));
             case "rig" -> Runtime.getRuntime().halt(RigCommand.run(Arrays.copyOfRange(args, 1, args.length)));
             default -> exit(2, USAGE);
         }
--- a/src/main/java/rushpin/config/Config.java
+++ b/src/main/java/rushpin/config/Config.java
@@ -97,6 +97,19 @@
         return parse(text(file), true);
     }
 
+    /** The settings of a file of this form as path=value pairs, as the module reads them; checked like a pool's. */
+    public static Map<String, String> settingsPairs(Path file) throws Invalid {
+        String text = text(file);
+        parse(text, true);
+        Map<String, String> pairs = new HashMap<>();
+        try {
+            flatten("settings", Json.read(text).path("settings"), pairs);
+        } catch (IOException e) {
+            throw new Invalid("the configuration cannot be read: " + e.getMessage());
+        }
+        return pairs;
+    }
+
     private static String text(Path file) throws Invalid {
         try {
             return Files.readString(file);
--- a/src/main/java/rushpin/model/Clients.java
+++ b/src/main/java/rushpin/model/Clients.java
@@ -215,7 +215,7 @@
         world.tally.tried(ask);
         String id = ask.id();
         long at = world.time.now();
-        world.time.after(day.oneWay + day.nodeSpan / 2, () -> {
+        world.time.after(day.oneWay + world.nodeSpan(ask) / 2, () -> {
             if (node.isAlive()) {
                 node.take(ask, day.spread, first(ask.customer), (status, retryAfter, within) ->
                     answered(ask, id, at, status, retryAfter, within));
--- a/src/main/java/rushpin/model/Day.java
+++ b/src/main/java/rushpin/model/Day.java
@@ -41,7 +41,8 @@
 
     final long span, warmUp;
     final int nodes, spread, zones;
-    final long nodeSpan;
+    /** What a node adds to a try, half of it before the module and half behind. */
+    final Work node;
     final double[] notice;
     final int servers, cores, line;
     final boolean cancelStops;
@@ -68,7 +69,13 @@
         nodes = p.whole("fleet.nodes", 3, 1, 200);
         spread = p.whole("fleet.spread", Math.min(3, nodes), 1, 200);
         zones = p.whole("fleet.zones", 1, 1, 16);
-        nodeSpan = p.span("fleet.node-us", 0, 1e6) / 1_000;
+        Work adds = null;
+        try {
+            adds = Work.of(p.text("fleet.node", "fixed 0"));
+        } catch (IllegalArgumentException e) {
+            p.fault("fleet.node", e.getMessage());
+        }
+        node = adds;
         notice = p.range("front.notice-ms", 820, 4_000, 60_000);
         servers = p.whole("servers.count", Double.NaN, 1, 1_000);
         cores = p.whole("servers.cores", Double.NaN, 1, 1_024);
--- a/src/main/java/rushpin/model/Node.java
+++ b/src/main/java/rushpin/model/Node.java
@@ -178,7 +178,7 @@
 
     private void answer(Open of, int status, long retryAfter) {
         of.answered = true;
-        world.time.after(world.day.nodeSpan / 2 + world.day.oneWay, () -> of.client.answered(status, retryAfter, of.within));
+        world.time.after(world.nodeSpan(of.ask) / 2 + world.day.oneWay, () -> of.client.answered(status, retryAfter, of.within));
     }
 
     private void settle(Open of) {
--- a/src/main/java/rushpin/model/Tally.java
+++ b/src/main/java/rushpin/model/Tally.java
@@ -218,6 +218,7 @@
             to.put("plan." + planNames.get(i), ratio(planEarned[i], planAsked[i]));
         }
         to.put("served", ok / n);
+        to.put("served-tries", ok / Math.max(1.0, tries));
         to.put("refused", refused / n);
         to.put("failed", (failed + none) / n);
         to.put("beyond", beyond / n);
--- a/src/main/java/rushpin/model/World.java
+++ b/src/main/java/rushpin/model/World.java
@@ -102,6 +102,11 @@
         return work[ask.requestClass].nanos(ask.work);
     }
 
+    /** What the node's own work and its machine add to a try. */
+    long nodeSpan(Ask ask) {
+        return day.node.nanos(chance.one("node", ask.number * 16L + ask.tries));
+    }
+
     double luck(Ask ask, int attempt, Station at) {
         return chance.one("luck " + at.id, ask.number * 64L + ask.tries * 16L + attempt);
     }
--- a/src/main/java/rushpin/rig/Load.java
+++ b/src/main/java/rushpin/rig/Load.java
@@ -303,6 +303,9 @@
                 .set("X-Qos", ask.order ? "order" : "lookup").set("X-Plan", group.plan)
                 .set("Cookie", String.format("customer=%016x", (group.plan.hashCode() & 0xffffL) << 16 | 1 + ask.customer))
                 .set("X-Expires-In-Ms", left).set("X-Quota", "units=1," + nodes.set(ask.customer));
+            if (ask.tries > 0) {
+                request.headers().set("X-Second-Try", "1");
+            }
             if (ask.order) {
                 request.headers().set("Idempotency-Key", ask.key).set("Content-Length", request.content().readableBytes());
             }
--- a/src/main/java/rushpin/rig/Rig.java
+++ b/src/main/java/rushpin/rig/Rig.java
@@ -5,7 +5,8 @@
 /** The scenarios by name. */
 public final class Rig {
     private static final List<Scenario> ALL = List.of(new DemoScenario(), new PoolsScenario(), new FleetScenario(),
-        new CostScenario(), new UseScenario(), new XdsScenario(), new ReplaceScenario());
+        new CostScenario(), new UseScenario(), new XdsScenario(), new ReplaceScenario(),
+        new ModelScenario());
 
     private Rig() {
     }
--- a/src/test/java/rushpin/ArchitectureTest.java
+++ b/src/test/java/rushpin/ArchitectureTest.java
@@ -35,8 +35,11 @@
             "lifecycle", "console", "traffic"));
         ROOMS.put("judge", List.of());
         ROOMS.put("model", List.of("gateway", "judge"));
-        ROOMS.put("rig", List.of("judge", "traffic"));
-        ROOMS.put("cli", List.of("drill", "config", "node", "rig", "traffic", "judge"));
+        ROOMS.put("fit", List.of("model", "traffic"));
+        ROOMS.put("study", List.of("model", "fit", "config"));
+        ROOMS.put("rig", List.of("judge", "traffic", "fit", "study"));
+        ROOMS.put("cli", List.of("drill", "config", "node", "rig", "traffic", "fit", "model",
+            "study"));
     }
 
     @Test
@@ -66,7 +69,7 @@
     @Test
     void decidersDoNoIo() {
         noClasses().that().resideInAnyPackage("rushpin.gateway..", "rushpin.route..", "rushpin.budget..",
-            "rushpin.membership..", "rushpin.quota..", "rushpin.lifecycle..", "rushpin.model..")
+            "rushpin.membership..", "rushpin.quota..", "rushpin.lifecycle..", "rushpin.model..", "rushpin.fit..")
             .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.nio", "java.nio.channels..",
                 "java.nio.file..", "java.util.concurrent..")
             .orShould().dependOnClassesThat().haveNameMatching("java\\.io\\.(File|.*Stream|.*Reader|.*Writer).*")
--- a/src/test/java/rushpin/model/Days.java
+++ b/src/test/java/rushpin/model/Days.java
@@ -34,11 +34,12 @@
     /** Three nodes, ten servers of four cores, 140 requests a second of 150 ms: a good half of what they can do. */
     static Map<String, String> day(String... more) {
         Map<String, String> d = new TreeMap<>();
-        put(d, "seconds=20 fleet.nodes=3 fleet.zones=2 fleet.node-us=300 servers.count=10 servers.cores=4 servers.line=16 "
+        put(d, "seconds=20 fleet.nodes=3 fleet.zones=2 servers.count=10 servers.cores=4 servers.line=16 "
             + "clients.rate=140 class.lookup.share=0.65 class.order.share=0.35 plan.basic.share=0.43 "
             + "plan.basic.customers=20 plan.bulk.share=0.57 plan.bulk.customers=6");
         d.put("class.lookup.work", "uniform 110 200");
         d.put("class.order.work", "uniform 110 200");
+        d.put("fleet.node", "fixed 0.3");
         for (String each : more) {
             put(d, each);
         }
--- a/src/test/java/rushpin/model/FleetModelTest.java
+++ b/src/test/java/rushpin/model/FleetModelTest.java
@@ -167,7 +167,9 @@
     @Test
     void anAnswerAfterItsTimeIsCaught() {
         // Half a second to the node and back is no client's fault.
-        String found = broken(Days.day("clients.patience=0.25,0.25", "fleet.node-us=1000000"), Days.gateway());
+        Map<String, String> day = Days.day("clients.patience=0.25,0.25");
+        day.put("fleet.node", "fixed 1000");
+        String found = broken(day, Days.gateway());
         assertTrue(found.startsWith("NO_REQUEST_LOST"), found);
     }
 
