Tests of studies and of a real node's records; rig cost plays a recorded node too

Need: a choice by another build's jar, a module that throws or goes round, threads that change no figure, and what a real node writes were shown by hand only.

--- a/src/main/java/rushpin/model/Tally.java
+++ b/src/main/java/rushpin/model/Tally.java
@@ -212,10 +212,15 @@
         to.put("whole", whole);
         to.put("worst-10s", window);
         for (int i = 0; i < classAsked.length; i++) {
-            to.put("class." + classNames.get(i), ratio(classEarned[i], classAsked[i]));
+            // Nothing asked for is no service.
+            if (classAsked[i] > 0) {
+                to.put("class." + classNames.get(i), ratio(classEarned[i], classAsked[i]));
+            }
         }
         for (int i = 0; i < planAsked.length; i++) {
-            to.put("plan." + planNames.get(i), ratio(planEarned[i], planAsked[i]));
+            if (planAsked[i] > 0) {
+                to.put("plan." + planNames.get(i), ratio(planEarned[i], planAsked[i]));
+            }
         }
         to.put("served", ok / n);
         to.put("served-tries", ok / Math.max(1.0, tries));
--- a/src/main/java/rushpin/rig/CostScenario.java
+++ b/src/main/java/rushpin/rig/CostScenario.java
@@ -35,7 +35,7 @@
 
     @Override
     public String line() {
-        return "CPU a request through the node, against a bare pass-through or, with --other JAR, another build";
+        return "CPU a request through the node, recorded too, against a bare pass-through or, with --other JAR, another build";
     }
 
     @Override
@@ -58,6 +58,10 @@
                 if (options.other() == null) {
                     add(all, yard, "node, one pool by an operator's file",
                         NodeProcess.serve(yard.folder, config, pools), options);
+                    yard.write("pseudonyms", "of this play alone, sixteen bytes or more");
+                    Path records = yard.write("records.toml", "[records]\nfolder = \"records\"\npseudonym-key = \"pseudonyms\"\n"
+                        + "[[pool]]\nname = \"one\"\nsettings = \"platform\"\n\n[[route]]\npool = \"one\"\n");
+                    add(all, yard, "the same, its traffic recorded", NodeProcess.serve(yard.folder, config, records), options);
                 }
                 measure(options, report, all, yard.records);
             } finally {
--- a/src/main/java/rushpin/study/DayFile.java
+++ b/src/main/java/rushpin/study/DayFile.java
@@ -43,7 +43,7 @@
             Object value = table.get(List.of(key));
             if (value instanceof TomlTable below) {
                 flatten(prefix + key + ".", below, into);
-            } else if (value instanceof TomlArray array && array.containsTables()) {
+            } else if (value instanceof TomlArray array && array.toList().stream().anyMatch(TomlTable.class::isInstance)) {
                 into.put(prefix + key + ".count", String.valueOf(array.size()));
                 for (int i = 0; i < array.size(); i++) {
                     flatten(prefix + key + "." + i + ".", array.getTable(i), into);
--- /dev/null
+++ b/src/test/java/rushpin/node/RecordsNodeTest.java
@@ -0,0 +1,114 @@
+package rushpin.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rushpin.config.Config;
+import rushpin.config.OperatorFile;
+import rushpin.traffic.Entry;
+import rushpin.traffic.Entry.End;
+import rushpin.traffic.Recorded;
+
+/** What a node on sockets writes of the requests that it takes. */
+class RecordsNodeTest extends Stage {
+    private static final String POOL = "[[pool]]\nname = \"p\"\nsettings = \"platform\"\n[[route]]\npool = \"p\"\n";
+    @TempDir
+    Path folder;
+
+    private EdgeNode start(String operator, String config) throws Exception {
+        Config read = Config.parse(config);
+        EdgeNode node = new EdgeNode(read, OperatorFile.parse(operator, folder, read));
+        node.start();
+        return node;
+    }
+
+    private String records() throws Exception {
+        Files.writeString(folder.resolve("key"), "sixteen bytes or more");
+        return "[records]\nfolder = \"records\"\npseudonym-key = \"key\"\n" + POOL;
+    }
+
+    @Test
+    void eachRequestStandsThereOnceWithItsAttemptsAndItsEndAndNoSecret() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        Peer server = peer(m -> m.answer(m.first().startsWith("GET") && calls.getAndIncrement() == 0
+            ? "HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n" : Peer.ok("", "x")));
+        Peer broken = peer(m -> m.answer("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"));
+        EdgeNode node = start(records(), config(member("s-0", server.address(), "Ready", 0)));
+        try {
+            Socket client = client(node);
+            assertEquals("200", ask(client, "secret-id-1"));
+            write(client, "GET /api?token=secret", headers("secret-id-2", "lookup", "20000"), "");
+            assertEquals("200", status(Peer.read(client)));
+        } finally {
+            node.drain().get();
+            node.close();
+        }
+        List<Entry> read = Recorded.read(folder.resolve("records")).entries();
+        assertEquals(2, read.size(), read.toString());
+        Entry order = read.stream().filter(e -> e.requestClass().equals("order")).findFirst().orElseThrow();
+        Entry lookup = read.stream().filter(e -> e.requestClass().equals("lookup")).findFirst().orElseThrow();
+        assertEquals(End.SERVED, order.end());
+        assertEquals("p", order.pool());
+        assertEquals("bulk", order.plan());
+        assertEquals(List.of("FULL", "OK"), lookup.tries().stream().map(Entry.Try::outcome).toList());
+        assertEquals("s-0", lookup.tries().get(0).server());
+        assertTrue(lookup.tries().get(1).after() >= lookup.tries().get(0).after() + lookup.tries().get(0).took());
+        assertTrue(lookup.took() >= lookup.tries().get(1).after());
+        assertEquals(order.customer(), lookup.customer());
+        assertTrue(Math.abs(order.at() / 1_000 - System.currentTimeMillis()) < 120_000, "Unix time: " + order.at());
+        try (Stream<Path> files = Files.list(folder.resolve("records"))) {
+            for (Path file : files.toList()) {
+                // The block is deflated: what stands there is told by the reader, and names nothing that it should not.
+                assertFalse(Files.readString(file, StandardCharsets.ISO_8859_1).contains("secret"));
+            }
+        }
+        assertFalse(read.toString().contains("secret"), read.toString());
+        assertFalse(read.toString().contains("customer=7,"), "a customer's number");
+        broken.close();
+    }
+
+    @Test
+    void aRefusalAndAFailureAreToldApart() throws Exception {
+        Peer broken = peer(m -> m.answer("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"));
+        EdgeNode node = start(records(), config(member("s-0", broken.address(), "Ready", 0)));
+        try {
+            Socket client = client(node);
+            write(client, "POST /api", headers("t-1", "strict", "20000"), "x");
+            assertEquals("502", status(Peer.read(client)), "it may have run");
+            write(client, "POST /api", headers("t-2", "order", "20"), "x");
+            Peer.read(client);
+        } finally {
+            node.drain().get();
+            node.close();
+        }
+        List<Entry> read = Recorded.read(folder.resolve("records")).entries();
+        assertEquals(2, read.size(), read.toString());
+        assertEquals(End.FAILED, read.get(0).end());
+        assertEquals(List.of("ERROR"), read.get(0).tries().stream().map(Entry.Try::outcome).toList());
+        assertTrue(read.get(1).end() == End.REFUSED || read.get(1).end() == End.FAILED, read.toString());
+    }
+
+    @Test
+    void withoutItsTableNothingIsWrittenAndNoThreadBegins() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        EdgeNode node = start(POOL, config(member("s-0", server.address(), "Ready", 0)));
+        try {
+            assertEquals("200", ask(client(node), "t-1"));
+            assertFalse(Thread.getAllStackTraces().keySet().stream().anyMatch(t -> t.getName().equals("records")));
+        } finally {
+            node.drain().get();
+            node.close();
+        }
+        assertFalse(Files.exists(folder.resolve("records")));
+    }
+}
