--- a/src/main/java/rushpin/cli/ModelCommand.java
+++ b/src/main/java/rushpin/cli/ModelCommand.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import org.apache.commons.math3.distribution.BinomialDistribution;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
@@ -30,7 +31,7 @@
 /** {@code model ...}: the fleet in simulated time. Exit 0: done, 1: a file can't be used or a claim falls short, 2: wrong words. */
 @Command(name = "model", mixinStandardHelpOptions = true, subcommands = {ModelCommand.FitCommand.class,
     ModelCommand.PlayCommand.class, ModelCommand.CompareCommand.class, ModelCommand.SweepCommand.class,
-    ModelCommand.ValidateCommand.class},
+    ModelCommand.CalibrateCommand.class, ModelCommand.ValidateCommand.class},
     description = "Plays a fleet in simulated time round the modules that serve, and compares choices.")
 final class ModelCommand implements Runnable {
     static int run(String[] args) {
@@ -157,7 +158,7 @@
 
     @Command(name = "play", mixinStandardHelpOptions = true, description = "Plays one choice; each figure with where one run lies.")
     static final class PlayCommand implements Callable<Integer> {
-        @Parameters(index = "0", paramLabel = "CHOICE", description = "FILE.json, FILE.jar, KEY=VALUE or as-is, joined by commas.")
+        @Parameters(index = "0", paramLabel = "CHOICE", description = "FILE.json, FILE.jar, KEY=VALUE, day.KEY=VALUE or as-is, joined by commas.")
         private String word;
 
         @Mixin
@@ -191,7 +192,7 @@
 
     @Command(name = "compare", mixinStandardHelpOptions = true, description = "Plays two choices on the same seeds: A, B or cannot tell.")
     static final class CompareCommand implements Callable<Integer> {
-        @Parameters(index = "0", paramLabel = "A", description = "FILE.json, FILE.jar, KEY=VALUE or as-is, joined by commas.")
+        @Parameters(index = "0", paramLabel = "A", description = "FILE.json, FILE.jar, KEY=VALUE, day.KEY=VALUE or as-is, joined by commas.")
         private String a;
 
         @Parameters(index = "1", paramLabel = "B")
@@ -270,6 +271,39 @@
         }
     }
 
+    @Command(name = "calibrate", mixinStandardHelpOptions = true,
+        description = "Compares a choice with itself on seeds of its own: how often it is said to differ.")
+    static final class CalibrateCommand implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "CHOICE")
+        private String word;
+
+        @Mixin
+        private OnADay on;
+
+        @Mixin
+        private HowSure sure;
+
+        @Option(names = "--comparisons", paramLabel = "N", defaultValue = "200", description = "How many (200).")
+        private int comparisons;
+
+        @Override
+        public Integer call() throws Exception {
+            Choice choice = on.choice(word);
+            Map<String, String> day = on.pairs();
+            try (Runner runner = on.runner()) {
+                Study.Options options = sure.options(on.seed);
+                int differs = new Study(runner, day, on.replay(choice, day), options).differs(choice, comparisons);
+                BinomialDistribution said = new BinomialDistribution(null, comparisons, 1 - options.level());
+                int most = said.inverseCumulativeProbability(0.995);
+                boolean holds = differs <= most;
+                System.out.printf(Locale.ROOT, "%d of %d comparisons of %s with itself differ; the level lets %d to %d pass, and fewer "
+                    + "where figures are whole%nverdict: %s%n", differs, comparisons, word, said.inverseCumulativeProbability(0.005), most,
+                    holds ? "holds" : "falls short: the method says more than it knows");
+                return holds ? 0 : 1;
+            }
+        }
+    }
+
     @Command(name = "validate", mixinStandardHelpOptions = true,
         description = "Plays a real loopback fleet, records and fits it, and holds the forecast against further real runs.")
     static final class ValidateCommand implements Callable<Integer> {
--- a/src/main/java/rushpin/fit/Family.java
+++ b/src/main/java/rushpin/fit/Family.java
@@ -59,7 +59,7 @@
         for (int i = 0; i <= STEPS; i++) {
             text.append(String.format(Locale.ROOT, " %.6g", i == 0 ? whole.getMin() : whole.getPercentile(100.0 * i / STEPS)));
         }
-        return new Family(text.toString(), best, p, false, sample.length);
+        return new Family(text.toString(), best == null ? "no family" : best, p, false, sample.length);
     }
 
     /** Every second figure, of no more than are tested. */
--- a/src/main/java/rushpin/fit/Fit.java
+++ b/src/main/java/rushpin/fit/Fit.java
@@ -110,7 +110,7 @@
     }
 
     private void arrivals() {
-        day.putIfAbsent("seconds", number(Math.max(1, Math.floor(seconds()))));
+        day.putIfAbsent("seconds", number(Math.floor(seconds()) + 1));
         day.put("clients.rate", number(firsts.size() / seconds()));
         for (String name : classes) {
             long count = firsts.stream().filter(e -> e.requestClass().equals(name)).count();
@@ -232,7 +232,7 @@
             work.put(name, law);
             day.put("class." + name + ".work", law.work());
             notes.add(String.format(Locale.ROOT, "class %s: %s, p = %.3f over %d attempts%s", name, law.name(), law.p(), law.samples(),
-                law.kept() ? "" : ": turned down, its own quantiles are used"));
+                law.kept() ? "" : ": turned down, the records' quantiles are used"));
         }
     }
 
--- a/src/main/java/rushpin/rig/ModelScenario.java
+++ b/src/main/java/rushpin/rig/ModelScenario.java
@@ -116,7 +116,8 @@
             Fit fit = new Fit(recorded, choice.settings(), given(), POOL);
             for (Map.Entry<String, Family> law : fit.laws().entrySet()) {
                 report.claim(String.format(Locale.ROOT, "work of %s is told by %d attempts: %s, p = %.3f", law.getKey(),
-                    law.getValue().samples(), law.getValue().name(), law.getValue().p()), law.getValue().samples() >= Family.LEAST);
+                    law.getValue().samples(), law.getValue().kept() ? law.getValue().name() : "its own quantiles",
+                    law.getValue().p()), law.getValue().samples() >= Family.LEAST);
             }
             Map<String, String> day = fit.day();
             try (Runner runner = new Runner(Math.max(1, Runtime.getRuntime().availableProcessors() / 2), 120)) {
--- a/src/main/java/rushpin/study/Study.java
+++ b/src/main/java/rushpin/study/Study.java
@@ -48,7 +48,7 @@
     public List<Map<String, Object>> play(Choice choice, int seeds) throws Unusable, InterruptedException {
         List<Runner.Job> jobs = new ArrayList<>();
         for (int i = 1; i <= seeds; i++) {
-            jobs.add(new Runner.Job(choice, day, replay, options.seed() + i));
+            jobs.add(new Runner.Job(choice, choice.on(day), replay, options.seed() + i));
         }
         List<Map<String, Object>> runs = new ArrayList<>();
         for (Runner.Done done : runner.play(jobs)) {
@@ -75,8 +75,8 @@
         for (int more = comparison.more(), next = 1; more > 0; more = comparison.more()) {
             List<Runner.Job> jobs = new ArrayList<>();
             for (int i = 0; i < more; i++) {
-                jobs.add(new Runner.Job(a, day, replay, options.seed() + next + i));
-                jobs.add(new Runner.Job(b, day, replay, options.seed() + next + i + (options.independent() ? APART : 0)));
+                jobs.add(new Runner.Job(a, a.on(day), replay, options.seed() + next + i));
+                jobs.add(new Runner.Job(b, b.on(day), replay, options.seed() + next + i + (options.independent() ? APART : 0)));
             }
             List<Runner.Done> done = runner.play(jobs);
             for (int i = 0; i < more; i++) {
@@ -98,6 +98,19 @@
         return comparison;
     }
 
+    /**
+     * A choice against itself, each side with seeds of its own, so many times: how many say that it differs.
+     */
+    public int differs(Choice choice, int comparisons) throws Unusable, InterruptedException {
+        int differs = 0;
+        for (int i = 0; i < comparisons; i++) {
+            Options apart = new Options(options.level(), options.halfWidth(), options.first(), options.budget(),
+                options.seed() + i * (long) (options.budget() + 1), true);
+            differs += new Study(runner, day, replay, apart).compare(choice, choice).verdict() == Comparison.Verdict.CANNOT_TELL ? 0 : 1;
+        }
+        return differs;
+    }
+
     /** One key over values, each against the choice as it stands; the level is corrected for their number. */
     public List<Comparison> sweep(Choice of, String key, List<String> values) throws Unusable, InterruptedException {
         Options each = new Options(1 - (1 - options.level()) / Math.max(1, values.size()), options.halfWidth(), options.first(),
