--- a/src/main/java/rushpin/model/SignedRank.java
+++ b/src/main/java/rushpin/model/SignedRank.java
@@ -31,12 +31,13 @@
         }
         Arrays.sort(means);
         double half = (1 - level) / 2;
+        double[] atMost = atMost(n);
         int outside = -1;
-        while (outside + 1 < means.length && atMost(n, outside + 1) <= half) {
+        while (outside + 1 < means.length && atMost[outside + 1] <= half) {
             outside++;
         }
         double middle = (means[(means.length - 1) / 2] + means[means.length / 2]) / 2;
-        double p = Math.min(1, 2 * atMost(n, Math.min(below, above)));
+        double p = Math.min(1, 2 * atMost[Math.min(below, above)]);
         return outside < 0 || outside > means.length - 1 - outside
             ? new SignedRank(Double.NEGATIVE_INFINITY, Double.POSITIVE_INFINITY, middle, p)
             : new SignedRank(means[outside], means[means.length - 1 - outside], middle, p);
@@ -47,23 +48,28 @@
         return low > 0 || high < 0;
     }
 
-    /** The chance that the ranks of one sign sum to so much or less. */
-    static double atMost(int n, int sum) {
+    /** For each sum from 0 on the chance that the ranks of one sign sum to so much or less. */
+    private static double[] atMost(int n) {
+        double[] ways = new double[n * (n + 1) / 2 + 1];
         if (n > EXACT) {
             double mean = n * (n + 1) / 4.0, sd = Math.sqrt(n * (n + 1) * (2 * n + 1) / 24.0);
-            return new NormalDistribution(null, mean, sd).cumulativeProbability(sum + 0.5);
+            NormalDistribution normal = new NormalDistribution(null, mean, sd);
+            for (int s = 0; s < ways.length; s++) {
+                ways[s] = normal.cumulativeProbability(s + 0.5);
+            }
+            return ways;
         }
-        double[] ways = new double[n * (n + 1) / 2 + 1];
         ways[0] = 1;
         for (int rank = 1; rank <= n; rank++) {
             for (int s = ways.length - 1; s >= rank; s--) {
                 ways[s] += ways[s - rank];
             }
         }
-        double some = 0;
-        for (int s = 0; s <= Math.min(sum, ways.length - 1); s++) {
+        double some = 0, all = Math.pow(2, n);
+        for (int s = 0; s < ways.length; s++) {
             some += ways[s];
+            ways[s] = some / all;
         }
-        return some / Math.pow(2, n);
+        return ways;
     }
 }
