Model: clients that find a node dead come once more; review of tables and ends

Change: clients.reconnect-ms (0 by default), told by the rig to its forecasts. Columns of a terminal are laid out in one place; what a recorder still holds at its end counts as dropped; unused parts and tests that could not fail are gone.

--- a/src/main/java/rushpin/cli/ModelCommand.java
+++ b/src/main/java/rushpin/cli/ModelCommand.java
@@ -21,6 +21,7 @@
 import rushpin.rig.Rig;
 import rushpin.rig.Scenario;
 import rushpin.study.Choice;
+import rushpin.study.Columns;
 import rushpin.study.DayFile;
 import rushpin.study.Reports;
 import rushpin.study.Runner;
@@ -45,11 +46,20 @@
         }).execute(args);
     }
 
+    private static String number(double x) {
+        return String.format(Locale.ROOT, "%.4f", x);
+    }
+
     @Override
     public void run() {
         CommandLine.usage(this, System.out);
     }
 
+    /** What a command asks of a study. */
+    private interface Asked<T> {
+        T of(Study study, Runner runner) throws Exception;
+    }
+
     /** What all that play a day are told. */
     static final class OnADay {
         @Option(names = "--day", required = true, paramLabel = "FILE", description = "The day, TOML; model fit writes one.")
@@ -94,8 +104,12 @@
             return fit.columns();
         }
 
-        Runner runner() {
-            return new Runner(threads > 0 ? threads : Runtime.getRuntime().availableProcessors(), runSeconds);
+        /** Plays what is asked on the day, as it is for a choice that records are read by. */
+        <T> T study(Choice by, Study.Options options, Asked<T> asked) throws Exception {
+            Map<String, String> pairs = pairs();
+            try (Runner runner = new Runner(threads > 0 ? threads : Runtime.getRuntime().availableProcessors(), runSeconds)) {
+                return asked.of(new Study(runner, pairs, replay(by, pairs), options), runner);
+            }
         }
     }
 
@@ -170,23 +184,23 @@
         @Override
         public Integer call() throws Exception {
             Choice choice = on.choice(word);
-            Map<String, String> day = on.pairs();
-            try (Runner runner = on.runner()) {
-                Study study = new Study(runner, day, on.replay(choice, day), new Study.Options(0.95, 1, seeds, seeds, on.seed, false));
-                List<Map<String, Object>> runs = study.play(choice, Math.max(2, seeds));
-                System.out.printf("%-16s %10s %10s %10s%n", "figure", "least", "mean", "most");
+            int count = Math.max(2, seeds);
+            return on.study(choice, new Study.Options(0.95, 1, count, count, on.seed, false), (study, runner) -> {
+                List<Map<String, Object>> runs = study.play(choice, count);
+                List<List<String>> rows = new ArrayList<>(List.of(List.of("figure", "least", "mean", "most")));
                 for (String name : runs.get(0).keySet()) {
-                    if (runs.get(0).get(name) instanceof Double) {
+                    if (runs.stream().allMatch(run -> run.get(name) instanceof Double)) {
                         Study.Forecast of = Study.forecast(runs, name, 0.95);
-                        System.out.printf(Locale.ROOT, "%-16s %10.4f %10.4f %10.4f%n", name, of.low(), of.mean(), of.high());
+                        rows.add(List.of(name, number(of.low()), number(of.mean()), number(of.high())));
                     }
                 }
+                Columns.lines(rows).forEach(System.out::println);
                 runs.stream().map(run -> (String) run.get("breach")).filter(breach -> !breach.isEmpty()).limit(5)
                     .forEach(breach -> System.out.println("broken: " + breach));
                 System.out.printf(Locale.ROOT, "%d runs; 95 of 100 further runs lie between least and most; %.0f us of one core a "
                     + "simulated try%n", runs.size(), runner.microsPerTry());
-            }
-            return 0;
+                return 0;
+            });
         }
     }
 
@@ -213,16 +227,13 @@
         @Override
         public Integer call() throws Exception {
             Choice first = on.choice(a), second = on.choice(b);
-            Map<String, String> day = on.pairs();
-            try (Runner runner = on.runner()) {
-                Comparison found = new Study(runner, day, on.replay(first, day), sure.options(on.seed)).compare(first, second);
-                Reports.table(found, a, b).forEach(System.out::println);
-                if (json != null) {
-                    Files.writeString(json, Reports.json(found, a, b, day));
-                }
-                if (page != null) {
-                    Files.writeString(page, Reports.page(found, a, b));
-                }
+            Comparison found = on.study(first, sure.options(on.seed), (study, runner) -> study.compare(first, second));
+            Reports.table(found, a, b).forEach(System.out::println);
+            if (json != null) {
+                Files.writeString(json, Reports.json(found, a, b, on.pairs()));
+            }
+            if (page != null) {
+                Files.writeString(page, Reports.page(found, a, b));
             }
             return 0;
         }
@@ -248,24 +259,29 @@
         @Override
         public Integer call() throws Exception {
             Choice choice = on.choice(word);
-            Map<String, String> day = on.pairs();
-            try (Runner runner = on.runner()) {
-                List<Comparison> all = new Study(runner, day, on.replay(choice, day), sure.options(on.seed)).sweep(choice, key, values);
-                System.out.printf("%-24s %10s %10s %10s %10s %6s  %s%n", key, "service", "less as-is", "from", "to", "seeds", "verdict");
-                List<String> said = new ArrayList<>();
-                for (int i = 0; i < all.size(); i++) {
-                    Comparison one = all.get(i);
-                    one.figures().stream().limit(1).forEach(f -> said.add(String.format(Locale.ROOT, "%10.4f %10.4f %10.4f %10.4f",
-                        f.b(), f.difference().middle(), f.difference().low(), f.difference().high())));
-                    System.out.printf("%-24s %43s %6d  %s%n", values.get(i), said.isEmpty() ? "" : said.get(said.size() - 1),
-                        one.seeds(), switch (one.verdict()) {
-                            case A -> "worse";
-                            case B -> "better";
-                            case CANNOT_TELL -> "cannot tell";
-                        });
-                    one.reasons().forEach(reason -> System.out.println("    " + reason));
-                    said.clear();
+            List<Comparison> all = on.study(choice, sure.options(on.seed), (study, runner) -> study.sweep(choice, key, values));
+            List<List<String>> rows = new ArrayList<>(List.of(List.of(key, "service", "less as-is", "from", "to", "seeds", "verdict")));
+            for (int i = 0; i < all.size(); i++) {
+                Comparison one = all.get(i);
+                List<String> row = new ArrayList<>(List.of(values.get(i)));
+                if (one.seeds() > 0) {
+                    Comparison.Figure f = one.figures().get(0);
+                    row.addAll(List.of(number(f.b()), number(f.difference().middle()), number(f.difference().low()),
+                        number(f.difference().high())));
+                } else {
+                    row.addAll(List.of("", "", "", ""));
                 }
+                row.addAll(List.of(String.valueOf(one.seeds()), switch (one.verdict()) {
+                    case A -> "worse";
+                    case B -> "better";
+                    case CANNOT_TELL -> "cannot tell";
+                }));
+                rows.add(row);
+            }
+            Columns.lines(rows).forEach(System.out::println);
+            for (int i = 0; i < all.size(); i++) {
+                String value = values.get(i);
+                all.get(i).reasons().forEach(reason -> System.out.println(value + ": " + reason));
             }
             return 0;
         }
@@ -289,18 +305,15 @@
         @Override
         public Integer call() throws Exception {
             Choice choice = on.choice(word);
-            Map<String, String> day = on.pairs();
-            try (Runner runner = on.runner()) {
-                Study.Options options = sure.options(on.seed);
-                int differs = new Study(runner, day, on.replay(choice, day), options).differs(choice, comparisons);
-                BinomialDistribution said = new BinomialDistribution(null, comparisons, 1 - options.level());
-                int most = said.inverseCumulativeProbability(0.995);
-                boolean holds = differs <= most;
-                System.out.printf(Locale.ROOT, "%d of %d comparisons of %s with itself differ; the level lets %d to %d pass, and fewer "
-                    + "where figures are whole%nverdict: %s%n", differs, comparisons, word, said.inverseCumulativeProbability(0.005), most,
-                    holds ? "holds" : "falls short: the method says more than it knows");
-                return holds ? 0 : 1;
-            }
+            Study.Options options = sure.options(on.seed);
+            int differs = on.study(choice, options, (study, runner) -> study.differs(choice, comparisons));
+            BinomialDistribution said = new BinomialDistribution(null, comparisons, 1 - options.level());
+            int most = said.inverseCumulativeProbability(0.995);
+            boolean holds = differs <= most;
+            System.out.printf(Locale.ROOT, "%d of %d comparisons of %s with itself differ; the level lets %d to %d pass, and fewer "
+                + "where figures are whole%nverdict: %s%n", differs, comparisons, word, said.inverseCumulativeProbability(0.005), most,
+                holds ? "holds" : "falls short: the method says more than it knows");
+            return holds ? 0 : 1;
         }
     }
 
--- a/src/main/java/rushpin/fit/Fit.java
+++ b/src/main/java/rushpin/fit/Fit.java
@@ -1,7 +1,6 @@
 package rushpin.fit;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -250,7 +249,7 @@
     }
 
     private void untold(Map<String, String> given) {
-        for (String key : List.of("servers.line", "servers.cancel-stops", "clients.retries", "clients.retry-wait-ms",
+        for (String key : List.of("servers.line", "servers.cancel-stops", "clients.retries", "clients.retry-wait-ms", "clients.reconnect-ms",
             "clients.heed-retry-after", "network.one-way-us", "network.connect-us", "front.notice-ms", "discovery.delay-ms",
             "counter.call-us")) {
             if (!given.containsKey(key)) {
@@ -290,9 +289,4 @@
         }
         return new Columns(figures, customers);
     }
-
-    @Override
-    public String toString() {
-        return firsts.size() + " first tries over " + Arrays.toString(new double[] {seconds()}) + " s";
-    }
 }
--- a/src/main/java/rushpin/model/Clients.java
+++ b/src/main/java/rushpin/model/Clients.java
@@ -215,16 +215,25 @@
         world.tally.tried(ask);
         String id = ask.id();
         long at = world.time.now();
+        Node.Client client = (status, retryAfter, within) -> answered(ask, id, at, status, retryAfter, within);
         world.time.after(day.oneWay + world.nodeSpan(ask) / 2, () -> {
             if (node.isAlive()) {
-                node.take(ask, day.spread, first(ask.customer), (status, retryAfter, within) ->
-                    answered(ask, id, at, status, retryAfter, within));
+                node.take(ask, day.spread, first(ask.customer), client);
             } else {
-                world.time.after(day.oneWay, () -> answered(ask, id, at, 0, 0, true));
+                world.time.after(day.reconnect + 2 * day.oneWay, () -> again(node, ask, client));
             }
         });
     }
 
+    /** The node was dead: now it takes the try, or the client hears that nobody does. */
+    private void again(Node node, Ask ask, Node.Client client) {
+        if (node.isAlive()) {
+            node.take(ask, day.spread, first(ask.customer), client);
+        } else {
+            world.time.after(day.oneWay, () -> client.answered(0, 0, true));
+        }
+    }
+
     private void answered(Ask ask, String id, long at, int status, long retryAfter, boolean within) {
         world.exchange(ask, id, at, status);
         boolean again = status != 200 && ask.tries < day.retries;
--- a/src/main/java/rushpin/model/Comparison.java
+++ b/src/main/java/rushpin/model/Comparison.java
@@ -1,7 +1,6 @@
 package rushpin.model;
 
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
@@ -31,6 +30,10 @@
     public record Failure(boolean ofA, long seed, String why) {
     }
 
+    /** A seed, and a side's {@link #FIGURE} there. */
+    public record Worst(long seed, double service) {
+    }
+
     private final double level, halfWidth;
     private final int first, budget;
     private final List<Long> seeds = new ArrayList<>();
@@ -207,17 +210,13 @@
         return (z((1 + level) / 2) + z(POWER)) * of.getStandardDeviation() * Math.sqrt(EFFICIENCY / Math.max(1, seeds.size()));
     }
 
-    /** The worst seed of a side by {@link #FIGURE}, and its figure there. */
-    public Map<Long, Double> worst(boolean ofA) {
-        Map<Long, Double> found = new LinkedHashMap<>();
+    /** The worst seed of a side by {@link #FIGURE}; null if none was played. */
+    public Worst worst(boolean ofA) {
         List<Map<String, Object>> runs = ofA ? runsA : runsB;
         int worst = -1;
         for (int i = 0; i < runs.size(); i++) {
             worst = worst < 0 || number(runs.get(i), FIGURE) < number(runs.get(worst), FIGURE) ? i : worst;
         }
-        if (worst >= 0) {
-            found.put(seeds.get(worst), number(runs.get(worst), FIGURE));
-        }
-        return found;
+        return worst < 0 ? null : new Worst(seeds.get(worst), number(runs.get(worst), FIGURE));
     }
 }
--- a/src/main/java/rushpin/model/Day.java
+++ b/src/main/java/rushpin/model/Day.java
@@ -55,6 +55,8 @@
     final double rate;
     final int retries;
     final long retryWait;
+    /** A client that finds a node dead tries to connect once more after so long. */
+    final long reconnect;
     final boolean heed;
     final double[] patience;
     final double unitsMean;
@@ -93,6 +95,7 @@
         rate = p.number("clients.rate", Double.NaN, 0, 1e6);
         retries = p.whole("clients.retries", 2, 0, 10);
         retryWait = p.span("clients.retry-wait-ms", 100, 600_000);
+        reconnect = p.span("clients.reconnect-ms", 0, 60_000);
         heed = p.flag("clients.heed-retry-after", true);
         patience = p.range("clients.patience", 0.5, 1, 1);
         unitsMean = p.number("clients.units-mean", 1, 0.01, 1e6);
--- a/src/main/java/rushpin/model/Tally.java
+++ b/src/main/java/rushpin/model/Tally.java
@@ -1,6 +1,5 @@
 package rushpin.model;
 
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
@@ -43,9 +42,8 @@
     private final double[] sentSeries, okSeries, refusedSeries, failedSeries;
     private final Map<Long, Account> accounts = new HashMap<>();
     private final Histogram served = new Histogram(HIGHEST_US, 3);
-    private final Histogram refusals = new Histogram(HIGHEST_US, 3);
     private long asks, ok, refused, failed, none, lateFails, tries, attempts, crossings, beyond;
-    private double workAsked, workDone;
+    private double workAsked, workDone, goodWork;
 
     Tally(Settings settings, List<String> classNames, List<String> planNames, long span, long warmUp) {
         this.settings = settings;
@@ -160,7 +158,6 @@
             earn(ask, part * plan * worth(ask));
             return;
         }
-        refusals.recordValue(Math.min(HIGHEST_US, took / 1_000));
         refused += status == 429 ? 1 : 0;
         refusedSeries[second] += status == 429 ? 1 : 0;
         failed += status == 500 ? 1 : 0;
@@ -204,7 +201,7 @@
         double whole = ratio(Arrays.stream(earned).sum(), Arrays.stream(asked).sum());
         double window = worstWindow();
         double n = Math.max(1, asks);
-        double waste = Math.max(0, workDone - okWork()) / Math.max(1, workAsked);
+        double waste = Math.max(0, workDone - goodWork) / Math.max(1, workAsked);
         double price = LATE_FAILS * lateFails / n + WASTE * Math.min(1, waste) + CROSSING * Math.min(1, crossings / n)
             + CALLS * Math.min(1, calls / Math.max(1.0, tries));
         to.put("service", WHOLE * whole + WORST * window + CLASS * worst(classEarned, classAsked)
@@ -241,23 +238,17 @@
         return to;
     }
 
-    private double goodWork;
-
     /** Work whose answer reached its client. */
     void good(Ask ask, long work) {
         goodWork += ask.counted ? work : 0;
     }
 
-    private double okWork() {
-        return goodWork;
-    }
-
     private double[] percentiles() {
-        List<Double> at = new ArrayList<>();
-        for (int i = 0; i <= 100; i++) {
-            at.add(served.getTotalCount() == 0 ? 0 : served.getValueAtPercentile(i) / 1e3);
+        double[] at = new double[101];
+        for (int i = 0; i < at.length; i++) {
+            at[i] = served.getTotalCount() == 0 ? 0 : served.getValueAtPercentile(i) / 1e3;
         }
-        return at.stream().mapToDouble(x -> x).toArray();
+        return at;
     }
 
     @Override
--- a/src/main/java/rushpin/rig/Load.java
+++ b/src/main/java/rushpin/rig/Load.java
@@ -35,6 +35,8 @@
  */
 final class Load {
     private static final long MS = 1_000_000L, GRACE = 500 * MS, KEY_REUSE = 2_000 * MS;
+    /** A node that takes no connection is tried once more after so long. */
+    static final int RECONNECT_MS = 20;
     private static final int MOST_RETRIES = 2, MOST_SHOWN = 20;
 
     /**
@@ -242,7 +244,7 @@
                 made.node = ask.node;
                 made.write(ask);
             } else if (again > 0) {
-                loop.schedule(() -> connect(ask, again - 1), 20, TimeUnit.MILLISECONDS);
+                loop.schedule(() -> connect(ask, again - 1), RECONNECT_MS, TimeUnit.MILLISECONDS);
             } else {
                 // Never came to a node: nothing was taken.
                 ended(ask, System.nanoTime(), Records.NONE, false, true, 0);
--- a/src/main/java/rushpin/rig/ModelScenario.java
+++ b/src/main/java/rushpin/rig/ModelScenario.java
@@ -156,6 +156,7 @@
             given.put("servers.line", String.valueOf(LINE));
             given.put("clients.retries", "2");
             given.put("clients.retry-wait-ms", "100");
+            given.put("clients.reconnect-ms", String.valueOf(Load.RECONNECT_MS));
             given.put("network.one-way-us", "50");
             given.put("network.connect-us", "200");
             return given;
--- a/src/main/java/rushpin/rig/Report.java
+++ b/src/main/java/rushpin/rig/Report.java
@@ -11,6 +11,7 @@
 import java.util.Arrays;
 import java.util.List;
 import rushpin.judge.Judge;
+import rushpin.study.Columns;
 
 /** What a scenario measured, what it claims, and which rules were broken. */
 public final class Report {
@@ -75,20 +76,7 @@
     public void print(PrintStream out) {
         out.println();
         out.println("rig " + scenario + ", seed " + seed);
-        int columns = rows.stream().mapToInt(List::size).max().orElse(0);
-        int[] width = new int[columns];
-        rows.forEach(row -> {
-            for (int i = 0; i < row.size(); i++) {
-                width[i] = Math.max(width[i], row.get(i).length());
-            }
-        });
-        for (List<String> row : rows) {
-            StringBuilder line = new StringBuilder();
-            for (int i = 0; i < row.size(); i++) {
-                line.append(row.get(i)).append(" ".repeat(width[i] - row.get(i).length() + 2));
-            }
-            out.println(line.toString().stripTrailing());
-        }
+        Columns.lines(rows).forEach(out::println);
         for (Claim claim : claims) {
             out.println((claim.holds ? "holds:        " : "falls short:  ") + claim.what);
         }
--- /dev/null
+++ b/src/main/java/rushpin/study/Columns.java
@@ -0,0 +1,29 @@
+package rushpin.study;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Rows as lines of a terminal, each column as wide as its widest cell. */
+public final class Columns {
+    private Columns() {
+    }
+
+    /** One line a row; rows may be of different lengths. */
+    public static List<String> lines(List<List<String>> rows) {
+        int[] width = new int[rows.stream().mapToInt(List::size).max().orElse(0)];
+        rows.forEach(row -> {
+            for (int i = 0; i < row.size(); i++) {
+                width[i] = Math.max(width[i], row.get(i).length());
+            }
+        });
+        List<String> lines = new ArrayList<>();
+        for (List<String> row : rows) {
+            StringBuilder line = new StringBuilder();
+            for (int i = 0; i < row.size(); i++) {
+                line.append(row.get(i)).append(" ".repeat(width[i] - row.get(i).length() + 2));
+            }
+            lines.add(line.toString().stripTrailing());
+        }
+        return lines;
+    }
+}
--- a/src/main/java/rushpin/study/Reports.java
+++ b/src/main/java/rushpin/study/Reports.java
@@ -49,23 +49,15 @@
     public static List<String> table(Comparison of, String a, String b) {
         List<List<String>> rows = new ArrayList<>(List.of(HEAD));
         of.figures().forEach(figure -> rows.add(row(figure)));
-        int[] width = new int[HEAD.size()];
-        rows.forEach(row -> {
-            for (int i = 0; i < width.length; i++) {
-                width[i] = Math.max(width[i], row.get(i).length());
-            }
-        });
         List<String> lines = new ArrayList<>(List.of("A: " + a, "B: " + b, of.seeds() + " seeds, both choices on each", ""));
-        for (List<String> row : rows) {
-            StringBuilder line = new StringBuilder();
-            for (int i = 0; i < width.length; i++) {
-                line.append(row.get(i)).append(" ".repeat(width[i] - row.get(i).length() + 2));
+        lines.addAll(Columns.lines(rows));
+        lines.add("");
+        for (boolean ofA : new boolean[] {true, false}) {
+            Comparison.Worst worst = of.worst(ofA);
+            if (worst != null) {
+                lines.add("worst seed of " + (ofA ? "A" : "B") + ": " + worst.seed() + ", service " + number(worst.service()));
             }
-            lines.add(line.toString().stripTrailing());
         }
-        lines.add("");
-        of.worst(true).forEach((seed, service) -> lines.add("worst seed of A: " + seed + ", service " + number(service)));
-        of.worst(false).forEach((seed, service) -> lines.add("worst seed of B: " + seed + ", service " + number(service)));
         lines.addAll(of.reasons());
         lines.add("verdict: " + verdict(of));
         return lines;
--- a/src/main/java/rushpin/study/Runner.java
+++ b/src/main/java/rushpin/study/Runner.java
@@ -97,13 +97,10 @@
                 columns, customers, job.seed());
             asked.addAndGet(Math.round((Double) figures.get("tries")));
             return figures;
-        } catch (IllegalArgumentException e) {
-            throw new IllegalArgumentException(e.getMessage());
         } catch (Exception e) {
             throw e;
-        } catch (StackOverflowError | LinkageError e) {
-            throw new IllegalStateException(e.toString());
         } catch (Throwable e) {
+            // A module that overflows its stack, or that fits no port of this model, has failed like one that throws.
             throw new IllegalStateException(e);
         } finally {
             spent.addAndGet(System.nanoTime() - begin);
--- a/src/main/java/rushpin/traffic/Recorder.java
+++ b/src/main/java/rushpin/traffic/Recorder.java
@@ -185,5 +185,8 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        // What came as the thread ended, or what a disk that hangs has kept it from.
+        dropped.addAndGet(queue.size());
+        queue.clear();
     }
 }
--- a/src/test/java/rushpin/model/Days.java
+++ b/src/test/java/rushpin/model/Days.java
@@ -1,7 +1,6 @@
 package rushpin.model;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import rushpin.gateway.Gateway;
@@ -78,8 +77,4 @@
     static double number(Map<String, Object> run, String name) {
         return (Double) run.get(name);
     }
-
-    static List<String> names(Map<String, Object> run) {
-        return List.copyOf(run.keySet());
-    }
 }
--- a/src/test/java/rushpin/model/FleetModelTest.java
+++ b/src/test/java/rushpin/model/FleetModelTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -13,7 +12,6 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import rushpin.gateway.Gateway;
 import rushpin.gateway.Ports;
-import rushpin.gateway.Ports.Outcome;
 
 /** The fleet in simulated time, and what its judge finds of modules that break the rules. */
 class FleetModelTest {
@@ -222,7 +220,6 @@
         Timeline time = new Timeline();
         Tallies counter = new Tallies(time, 1, 1_000, 50_000_000);
         var line = Tallies.line();
-        Map<Integer, Outcome> ended = new HashMap<>();
         StringBuilder order = new StringBuilder();
         counter.silent(true);
         counter.call(line, 9, 1, 1_000_000_000, 100, (outcome, total) -> order.append("first ").append(outcome));
@@ -231,6 +228,6 @@
         counter.call(line, 9, 2, 1_000_000_000, 100, (outcome, total) -> order.append(", second ").append(outcome).append(total));
         time.run(100_000_000);
         assertEquals("first TIMEOUT, second OK2.0", order.toString());
-        assertTrue(ended.isEmpty() && line.isEmpty());
+        assertTrue(line.isEmpty());
     }
 }
--- a/src/test/java/rushpin/node/RecordsNodeTest.java
+++ b/src/test/java/rushpin/node/RecordsNodeTest.java
@@ -5,12 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import rushpin.config.Config;
@@ -42,7 +40,6 @@
         AtomicInteger calls = new AtomicInteger();
         Peer server = peer(m -> m.answer(m.first().startsWith("GET") && calls.getAndIncrement() == 0
             ? "HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n" : Peer.ok("", "x")));
-        Peer broken = peer(m -> m.answer("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"));
         EdgeNode node = start(records(), config(member("s-0", server.address(), "Ready", 0)));
         try {
             Socket client = client(node);
@@ -66,15 +63,8 @@
         assertTrue(lookup.took() >= lookup.tries().get(1).after());
         assertEquals(order.customer(), lookup.customer());
         assertTrue(Math.abs(order.at() / 1_000 - System.currentTimeMillis()) < 120_000, "Unix time: " + order.at());
-        try (Stream<Path> files = Files.list(folder.resolve("records"))) {
-            for (Path file : files.toList()) {
-                // The block is deflated: what stands there is told by the reader, and names nothing that it should not.
-                assertFalse(Files.readString(file, StandardCharsets.ISO_8859_1).contains("secret"));
-            }
-        }
         assertFalse(read.toString().contains("secret"), read.toString());
         assertFalse(read.toString().contains("customer=7,"), "a customer's number");
-        broken.close();
     }
 
     @Test
