An answer that stops on its way ends with its client's time

Read for every way in which a request that was sent on can stay without an end: an answer of unknown length goes through piece by piece once it has moved for 0.2 s (ServerPool.look); from then on neither the attempt's time nor the backstop of Pool.take holds, and only Passage.isStuck ends it, after 10 s of silence. A server or zone that falls silent in the middle leaves the client with half an answer long after its time. Ruled out by reading: the backstop itself, refusals, connects.

Change: Giving decides, without I/O: up to 64 KiB the last byte is timed, so the answer is broken off once the client's time is up and nothing came for 0.25 s; beyond, it goes on. Where only the connection's end tells the length (HTTP/1.0), it is a reset: an orderly end passed for all of the answer.

--- a/src/main/java/rushpin/net/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -32,6 +32,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.math.BigDecimal;
 import java.net.SocketAddress;
@@ -405,7 +406,7 @@
                 }
             } else if (current != null) {
                 if (current.passage != null && current.passage.isStuck()) {
-                    channel.close();
+                    cut(current);
                 }
             } else if (now - since > IDLE) {
                 closing = true;
@@ -606,6 +607,7 @@
             } else if (reply.mayChunk) {
                 answer.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             } else {
+                reply.untilClosed = true;
                 last = true;
             }
             if (last) {
@@ -613,11 +615,16 @@
             }
             boolean close = last;
             reply.passage = passage;
+            Giving giving = new Giving(reply.of.dueAt(), node.now());
+            if (size < 0) {
+                reply.watch(giving);
+            }
             channel.writeAndFlush(answer);
             passage.attach(new Passage.Sink() {
                 @Override
                 public void piece(ByteBuf piece) {
                     int bytes = piece.readableBytes();
+                    giving.gave(bytes, node.now());
                     channel.writeAndFlush(new DefaultHttpContent(piece)).addListener(done -> passage.taken(bytes));
                 }
 
@@ -625,7 +632,7 @@
                 public void end(boolean whole) {
                     if (!whole) {
                         reply.passed(false);
-                        channel.close();
+                        cut(reply);
                         return;
                     }
                     channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(done -> {
@@ -646,6 +653,14 @@
             });
         }
 
+        /** Ends the connection in the middle of an answer; reset where only that tells the client that it is not whole. */
+        private void cut(Reply reply) {
+            if (reply.untilClosed) {
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            }
+            channel.close();
+        }
+
         /** Goes on to what came meanwhile, unless the client does not even read its answers. */
         private void next() {
             if (current != null || closing || !channel.isActive() || !channel.isWritable()) {
@@ -701,7 +716,10 @@
             /** A long answer that goes through, and who hears of its end. */
             private Passage passage;
             private Consumer<Boolean> ended;
+            private Future<?> watch;
             private final boolean mayChunk;
+            /** Its answer's end is told by the connection's alone. */
+            private boolean untilClosed;
 
             Reply(Service service, boolean mayChunk) {
                 this.mayChunk = mayChunk;
@@ -724,8 +742,21 @@
                 }
             }
 
+            /** An answer that stops on its way ends with its client's time. */
+            void watch(Giving giving) {
+                long left = giving.left(node.now());
+                if (left == 0) {
+                    cut(this);
+                } else if (left > 0) {
+                    watch = loop.schedule(() -> watch(giving), left, TimeUnit.NANOSECONDS);
+                }
+            }
+
             /** A long answer has ended; said once. */
             void passed(boolean whole) {
+                if (watch != null) {
+                    watch.cancel(false);
+                }
                 Consumer<Boolean> hears = ended;
                 ended = null;
                 if (hears == null) {
--- a/src/test/java/rushpin/node/LongBodyTest.java
+++ b/src/test/java/rushpin/node/LongBodyTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
@@ -481,4 +482,53 @@
         }
         assertEquals(threads.length, good.get());
     }
+
+    /** Gives so much that its answer is passed on, and then nothing more. */
+    private Peer stopping(CountDownLatch done) throws IOException {
+        return peer(m -> {
+            text(m.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for (int i = 0; i < 6; i++) {
+                chunk(m.socket().getOutputStream(), letters(5), 0, 5);
+                Thread.sleep(100);
+            }
+            done.await(60, TimeUnit.SECONDS);
+        });
+    }
+
+    /** Passed on early since it moved, then silent: its client was left with half an answer long after its time. */
+    @Test
+    void aShortAnswerThatStopsOnItsWayEndsWithItsClientsTime() throws Exception {
+        CountDownLatch done = new CountDownLatch(1);
+        Socket client = client(node(stopping(done)));
+        long begin = System.nanoTime();
+        write(client, "POST /api", headers("t-1", "order", "2000"), "book");
+        String answer = new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        long tookMs = (System.nanoTime() - begin) / 1_000_000;
+        done.countDown();
+        assertTrue(answer.startsWith("HTTP/1.1 200") && !answer.endsWith("0\r\n\r\n"), "the client can tell that it is not whole");
+        // What goes through and does not move is let go after 10 s: far behind this client's two.
+        assertTrue(tookMs < 8_000, "left hanging for " + tookMs + " ms");
+    }
+
+    /** Where only the connection's end tells how long an answer is, an orderly one would pass for all of it. */
+    @Test
+    void aClientOfTheOldFormIsResetInTheMiddleOfAnAnswer() throws Exception {
+        CountDownLatch done = new CountDownLatch(1);
+        Socket client = client(node(stopping(done)));
+        StringBuilder text = new StringBuilder("POST /api HTTP/1.0\r\n");
+        headers("t-1", "order", "2000").forEach((name, value) -> text.append(name).append(": ").append(value).append("\r\n"));
+        text(client, text + "Content-Length: 4\r\n\r\nbook");
+        assertThrows(IOException.class, () -> client.getInputStream().readAllBytes());
+        done.countDown();
+    }
+
+    /** Above 64 KiB the first bytes are what is timed, and a server that goes on giving is not cut off. */
+    @Test
+    void anAnswerThatStillComesGoesOnBehindItsClientsTime() throws Exception {
+        byte[] all = bytes(250_000, 11);
+        Peer server = peer(m -> answer(m.socket(), "chunked", all, 25_000, 300));
+        Socket client = client(node(server));
+        write(client, "POST /api", headers("t-1", "order", "2000"), "book");
+        assertArrayEquals(all, body(client));
+    }
 }
