rig herd: seven in ten nodes killed at once in the middle of a release

Change: a scenario on loopback: ten or twenty real processes, half of the servers replaced, one failing fast, seven in ten nodes killed at one moment. What scenarios of fleets set up alike stands in Fleet.

--- a/src/main/java/rushpin/rig/FleetScenario.java
+++ b/src/main/java/rushpin/rig/FleetScenario.java
@@ -1,7 +1,6 @@
 package rushpin.rig;
 
 import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -9,8 +8,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -55,13 +52,9 @@
         private final Options options;
         private final Way way;
         private final Report report;
-        private final List<FleetNode> fleet = new ArrayList<>();
+        private Fleet all;
+        private List<FleetNode> fleet;
         private final List<Long> gaps = Collections.synchronizedList(new ArrayList<>());
-        private final ExecutorService threads = Executors.newCachedThreadPool(work -> {
-            Thread made = new Thread(work, "fleet");
-            made.setDaemon(true);
-            return made;
-        });
         private int restarts, kills;
         private Load.Stretch rest;
 
@@ -79,23 +72,14 @@
             List<RigConfig.Plan> plans = List.of(light, heavy);
             AppServer.Work work = new AppServer.Work(4, 16, 30_000, 50_000, RigConfig.KEY_WINDOW_MS * 1_000_000);
             try (Yard yard = new Yard()) {
-                Discovery discovery = yard.pool(POOL, (int) (capacity / 100), work, options.seed() * 17);
-                for (int i = 0; i < count; i++) {
-                    FleetNode node = new FleetNode(i, way, yard.folder);
-                    fleet.add(node);
-                    Path config = yard.write(node.name + ".json", RigConfig.json(node.name,
-                        node.address.getAddress().getHostAddress() + ":" + node.address.getPort(), i, 512, count, discovery,
-                        yard.counter, plans));
-                    node.configure(config, yard.write(node.name + ".toml", "[process]\nlistener = \""
-                        + way.name().toLowerCase(Locale.ROOT) + "\"\nstate = \"state-" + node.name + "\"\n\n[[pool]]\nname = \""
-                        + POOL + "\"\nsettings = \"platform\"\n\n[[route]]\npool = \"" + POOL + "\"\n"));
-                }
-                try (FleetFront front = new FleetFront(fleet, options.seed())) {
-                    all(fleet, FleetNode::start);
+                yard.pool(POOL, (int) (capacity / 100), work, options.seed() * 17);
+                try (Fleet made = new Fleet(yard, POOL, count, way, plans, node -> "[process]\nlistener = \""
+                    + way.name().toLowerCase(Locale.ROOT) + "\"\nstate = \"state-" + node + "\"\n");
+                     FleetFront front = new FleetFront(made.nodes, options.seed())) {
+                    all = made;
+                    fleet = made.nodes;
+                    made.all(fleet, FleetNode::start);
                     load(yard, front, capacity);
-                } finally {
-                    fleet.forEach(FleetNode::close);
-                    threads.shutdownNow();
                 }
                 yard.end();
                 List<Judge.Breach> found = Judge.judge(yard.records, RigConfig.rules(plans));
@@ -104,24 +88,6 @@
             }
         }
 
-        private interface Step {
-            void on(FleetNode node) throws Exception;
-        }
-
-        /** Does something to some nodes at once and waits for all. */
-        private void all(List<FleetNode> nodes, Step step) throws Exception {
-            List<Future<?>> running = new ArrayList<>();
-            for (FleetNode node : nodes) {
-                running.add(threads.submit(() -> {
-                    step.on(node);
-                    return null;
-                }));
-            }
-            for (Future<?> one : running) {
-                one.get(120, TimeUnit.SECONDS);
-            }
-        }
-
         private void load(Yard yard, FleetFront front, double capacity) throws Exception {
             Load many = new Load(yard.loop(), new Load.Group(POOL, "fleet.example.org", "/api?slot=1", 0.35, CUSTOMERS,
                 "bulk", 3_000, 800, true), front, yard.records, options.seed() + 1);
@@ -164,7 +130,7 @@
             double more = notServed(planned) - notServed(rest);
             report.row(way, fleet.size(), "a restart", String.format(Locale.ROOT, "%.1f tries not served more than in the calm",
                 more * tries(planned) / Math.max(1, restarts)));
-            report.claim(way + ": every node of the fleet serves at the end", fleet.stream().allMatch(FleetNode::isHealthy));
+            report.claim(way + ": every node of the fleet serves at the end", all.isHealthy());
             if (way == Way.INHERITED) {
                 report.claim(way + ": the longest gap of a restart is " + most() + " ms", most() < 250);
             }
@@ -177,18 +143,13 @@
             // One after another, each in the middle of the drain of the one before.
             List<Future<?>> running = new ArrayList<>();
             for (FleetNode node : order.subList(0, half)) {
-                running.add(threads.submit(() -> {
-                    restart(node, front);
-                    return null;
-                }));
+                running.add(all.begin(node, each -> restart(each, front)));
                 Thread.sleep(options.isShort() ? 400 : 700);
             }
-            for (Future<?> one : running) {
-                one.get(120, TimeUnit.SECONDS);
-            }
+            Fleet.await(running);
             // A burst of reloads at the others.
             for (int i = 0; i < 10; i++) {
-                all(order.subList(half, fleet.size()), node -> node.signal("HUP"));
+                all.all(order.subList(half, fleet.size()), node -> node.signal("HUP"));
                 Thread.sleep(100);
             }
             // A server starts anew while a quarter of the nodes do: nobody may push it over, and each learns of it at once.
@@ -196,7 +157,7 @@
             cold.restart();
             yard.discovery(POOL).set(cold.id, cold.address(), "Ready", System.currentTimeMillis());
             // A quarter at once.
-            all(order.subList(half, half + Math.max(1, fleet.size() / 4)), node -> restart(node, front));
+            all.all(order.subList(half, half + Math.max(1, fleet.size() / 4)), node -> restart(node, front));
         }
 
         private void hard(Yard yard, FleetFront front) throws Exception {
@@ -210,10 +171,7 @@
             // One stands still for 5 s; meanwhile a server drains, and is back when it has gone on for a while.
             FleetNode still = order.get(1);
             AppServer drained = yard.servers(POOL).get(1);
-            Future<?> freezing = threads.submit(() -> {
-                still.freeze(5_000);
-                return null;
-            });
+            Future<?> freezing = all.begin(still, node -> node.freeze(5_000));
             front.died(still);
             Thread.sleep(500);
             yard.discovery(POOL).set(drained.id, drained.address(), "Terminating", 0);
@@ -225,7 +183,7 @@
             odd.signal("HUP");
             // Some killed hard, and started again when the platform has noticed.
             kills = options.isShort() ? 1 : 3;
-            all(order.subList(fleet.size() - kills, fleet.size()), node -> {
+            all.all(order.subList(fleet.size() - kills, fleet.size()), node -> {
                 front.died(node);
                 node.kill(1_500);
             });
@@ -234,7 +192,7 @@
         /** One planned restart, with the span in which nobody answered at its address. */
         private void restart(FleetNode node, FleetFront front) throws Exception {
             AtomicBoolean over = new AtomicBoolean();
-            CompletableFuture<Long> gap = CompletableFuture.supplyAsync(() -> gap(node, over), threads);
+            CompletableFuture<Long> gap = CompletableFuture.supplyAsync(() -> gap(node, over), all.threads());
             synchronized (this) {
                 restarts++;
             }
--- a/src/main/java/rushpin/rig/ModelScenario.java
+++ b/src/main/java/rushpin/rig/ModelScenario.java
@@ -1,7 +1,6 @@
 package rushpin.rig;
 
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -51,29 +50,17 @@
     public Report play(Options options) throws Exception {
         Report report = new Report(name(), options.seed());
         RigConfig.Plan plan = new RigConfig.Plan("bulk", RATE / CUSTOMERS * 4, RATE / CUSTOMERS * 12, 0, 0, 0);
-        List<FleetNode> fleet = new ArrayList<>();
         try (Yard yard = new Yard()) {
-            Discovery discovery = yard.pool(POOL, SERVERS, new AppServer.Work(CORES, LINE, LEAST, MOST,
+            yard.pool(POOL, SERVERS, new AppServer.Work(CORES, LINE, LEAST, MOST,
                 RigConfig.KEY_WINDOW_MS * MS), options.seed() * 31);
             yard.write("pseudonyms", "of this play alone, sixteen bytes or more");
-            for (int i = 0; i < NODES; i++) {
-                FleetNode node = new FleetNode(i, FleetNode.Way.OWN, yard.folder);
-                fleet.add(node);
-                node.configure(yard.write(node.name + ".json", RigConfig.json(node.name,
-                    node.address.getAddress().getHostAddress() + ":" + node.address.getPort(), i, 512, NODES, discovery,
-                    yard.counter, List.of(plan))), yard.write(node.name + ".toml", "[records]\nfolder = \"records\"\n"
-                    + "pseudonym-key = \"pseudonyms\"\n\n[[pool]]\nname = \"" + POOL + "\"\nsettings = \"platform\"\n\n[[route]]\npool = \""
-                    + POOL + "\"\n"));
-            }
-            try (FleetFront front = new FleetFront(fleet, options.seed())) {
-                for (FleetNode node : fleet) {
-                    node.start();
-                }
+            try (Fleet fleet = new Fleet(yard, POOL, NODES, FleetNode.Way.OWN, List.of(plan),
+                node -> "[records]\nfolder = \"records\"\npseudonym-key = \"pseudonyms\"\n");
+                 FleetFront front = new FleetFront(fleet.nodes, options.seed())) {
+                fleet.all(fleet.nodes, FleetNode::start);
                 Load load = new Load(yard.loop(), new Load.Group(POOL, "app.svc", "/api?slot=1", 0.35, CUSTOMERS, "bulk",
                     PATIENCE_MS, 400, true), front, yard.records, options.seed() * 7);
-                new Play(options, report, yard, fleet, front, load).run();
-            } finally {
-                fleet.forEach(FleetNode::close);
+                new Play(options, report, yard, fleet.nodes, front, load).run();
             }
             yard.end();
             report.add(Judge.judge(yard.records, RigConfig.rules(List.of(plan))));
--- a/src/main/java/rushpin/rig/Rig.java
+++ b/src/main/java/rushpin/rig/Rig.java
@@ -6,7 +6,7 @@
 public final class Rig {
     private static final List<Scenario> ALL = List.of(new DemoScenario(), new PoolsScenario(), new FleetScenario(),
         new CostScenario(), new UseScenario(), new XdsScenario(), new ReplaceScenario(),
-        new ModelScenario());
+        new ModelScenario(), new HerdScenario());
 
     private Rig() {
     }
