No warm server left: none is pushed over, and slow answers shut no gateway for good

Cause: coldRoom took all of the gateway's work for one warm server's where none was warm (Math.max(1, warm)), and nothing at all at a gateway that had sent nothing yet, for the 18 s of their start. Job.hopeless asks for 1.5 times the lane's usual span; only answers change that span, and above two thirds of the aim no request is sent that could be answered. The model missed the first: its servers counted 1 ms for what they turn away, in windows that began anew.

Change: what a warm server took while most were warm is kept and bounds what a cold one gets where few are, half a request at a time at least over the fleet; of the aim at most 0.8 is asked for. The model's servers count all that reaches them over a sliding span.

--- a/src/main/java/rushpin/gateway/Gateway.java
+++ b/src/main/java/rushpin/gateway/Gateway.java
@@ -45,7 +45,7 @@
     /** How many servers each of as many gateways as servers looks at for a request; two are the least. */
     private static final int LOOK = 3;
     /** Further attempts per first one, how many may be saved up; the usual spans that a first one needs. */
-    private static final double RETRY_RATIO = 0.2, RETRY_MOST = 20, MARGIN = 1.5;
+    private static final double RETRY_RATIO = 0.2, RETRY_MOST = 20, MARGIN = 1.5, MOST_OF_AIM = 0.8;
 
     /** A connection that broke tells nothing of load: as slow it would close the loop on all other work. */
     private static final Set<Outcome> NO_SIGN_OF_LOAD =
@@ -71,7 +71,7 @@
     private Lane[] lanes;
     private Control control;
     private int inFlight, heardCount, processes = 1;
-    private double retryTokens = RETRY_MOST, virtualTime, sentWork, usualStake, usualLoad;
+    private double retryTokens = RETRY_MOST, virtualTime, sentWork, warmWork, usualStake, usualLoad;
     private boolean silent, denied;
     private final double callStart;
     private double callRate, callTokens;
@@ -695,12 +695,16 @@
 
         /** Too late to be sent for the first time and answered within its aim. */
         boolean hopeless() {
-            long need = attempts == 0 ? (long) (MARGIN * cost() * SECOND) : 0;
+            // A guess that let nobody go would never be put right: only answers change it.
+            double guess = Math.min(MARGIN * lane.service, MOST_OF_AIM * spec.aim() * NANO);
+            long need = attempts == 0 ? (long) (guess * weight() * SECOND) : 0;
             return now + Math.max(need, 2 * TICK + cfg.tick()) >= aimAt();
         }
 
-        double cost() {
-            return lane.service * Math.max(0.3, Math.min(3, request.units() / Math.max(1e-9, lane.units)));
+        double cost() { return lane.service * weight(); }
+
+        private double weight() {
+            return Math.max(0.3, Math.min(3, request.units() / Math.max(1e-9, lane.units)));
         }
     }
 
@@ -1131,7 +1135,12 @@
     private boolean coldRoom(Backend b, Job job) {
         int warm = 0;
         for (Backend other : listed) { warm += other.cold() ? 0 : 1; }
-        double work = sentWork / Math.max(1, warm) * b.warmth() * (now - b.coldAt) * NANO;
+        if (2 * warm >= listed.size()) { warmWork = sentWork / warm; }
+        // Few warm ones tell little of all: what one took when most were, half a request at a time at least.
+        double known = Math.max(warmWork, 0.5 / cfg.siblings());
+        double most = Math.max(1, cfg.rules().fallMultiple()) * known;
+        double part = warm > 0 ? Math.min(sentWork / warm, most) : known;
+        double work = part * b.warmth() * (now - b.coldAt) * NANO;
         b.coldAt = now;
         return random.nextDouble() * job.cost() < work;
     }
--- a/src/main/java/rushpin/model/Station.java
+++ b/src/main/java/rushpin/model/Station.java
@@ -49,7 +49,9 @@
     private final Set<Visit> running = new HashSet<>();
     private boolean up = true, silent, fallen;
     private double slow = 1, failChance;
-    private long pausedFrom, pausedUntil, pushFrom;
+    private long pausedFrom, pausedUntil;
+    /** What has come while it was cold, in the span of the rule: when, and how much work. */
+    private final ArrayDeque<double[]> pushes = new ArrayDeque<>();
     private double pushed;
     /** What was seen: requests present over time, their spans here, work done, in nanoseconds. */
     private double presentNanos, sojournNanos, busyNanos;
@@ -101,7 +103,7 @@
         silent = false;
         fallen = false;
         startedAt = Math.max(1, time.now());
-        pushFrom = startedAt;
+        pushes.clear();
         pushed = 0;
     }
 
@@ -162,7 +164,8 @@
         } else if (one.luck < failChance) {
             one.ends(Outcome.ERROR);
         } else if (running.size() >= cores && waiting.size() >= line) {
-            push(1e6);
+            // What is turned away has come all the same (rule 4).
+            push(one.work);
             if (isUp()) {
                 one.ends(Outcome.FULL);
             }
@@ -242,11 +245,11 @@
         if (startedAt == 0 || warmth() >= 1 || fallen) {
             return;
         }
-        if (time.now() - pushFrom > rules.fallSpan()) {
-            pushFrom = time.now();
-            pushed = 0;
-        }
+        pushes.add(new double[] {time.now(), work});
         pushed += work;
+        while (time.now() - pushes.peek()[0] > rules.fallSpan()) {
+            pushed -= pushes.poll()[1];
+        }
         if (rules.fallMultiple() > 0 && pushed > rules.fallMultiple() * warmth() * cores * rules.fallSpan()) {
             fallen = true;
             fell.run();
--- a/src/test/java/rushpin/model/FleetModelTest.java
+++ b/src/test/java/rushpin/model/FleetModelTest.java
@@ -56,6 +56,47 @@
         assertEquals(Days.number(run, "servers.present-s"), Days.number(run, "servers.sojourn-s"), 1e-3, "Little, seed " + seed);
     }
 
+    private static double part(Map<String, Object> run, int from, int to) {
+        double[] asked = (double[]) run.get("series.asked"), served = (double[]) run.get("series.served");
+        double all = 0, ok = 0;
+        for (int i = from; i < to; i++) {
+            all += asked[i];
+            ok += served[i];
+        }
+        return ok / all;
+    }
+
+    /**
+     * All servers are replaced within half a second: none is warm. Sent what a warm one would do, or what nobody had counted, each
+     * fell over; and one gateway, used to answers slower than its clients wait, refused all that came from then on.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 14, 60})
+    void withNoWarmServerLeftNoneIsPushedOverAndAllAreServedOnceTheyAreWarm(int nodes) {
+        for (long seed = 1; seed <= 2; seed++) {
+            Map<String, String> day = Days.with(Days.day("seconds=40 fleet.nodes=" + nodes + " fleet.spread=" + Math.min(3, nodes)
+                + " fleet.zones=1 clients.rate=150 servers.drain-ms=1500 servers.count=60 servers.cores=1 servers.line=6"),
+                "kind=servers-replaced at-s=8 for-s=0.5 part=1");
+            Map<String, Object> run = Days.play(day, seed);
+            assertEquals("", run.get("breach"), nodes + " nodes, seed " + seed);
+            double before = part(run, 2, 8), meanwhile = part(run, 12, 18), behind = part(run, 30, 40);
+            assertTrue(behind > before - 0.05, nodes + " nodes, seed " + seed + ": " + before + " before, " + behind + " behind it");
+            assertTrue(meanwhile > 0.3 * before, nodes + " nodes, seed " + seed + ": " + meanwhile + " meanwhile");
+        }
+    }
+
+    /** The servers of a fleet that starts are all new: each does at least half a request at a time. */
+    @Test
+    void aGatewayThatKnowsNoWarmServerSendsAllTheSame() {
+        Map<String, String> day = Days.with(Days.day("seconds=12 fleet.nodes=3"), "kind=servers-replaced at-s=0.1 for-s=0.1 part=1",
+            "kind=nodes-die at-s=3 for-s=0.5 part=1");
+        day.put("servers.drain-ms", "1000");
+        day.put("clients.rate", "60");
+        Map<String, Object> run = Days.play(day, 1);
+        assertEquals("", run.get("breach"));
+        assertTrue(part(run, 6, 12) > 0.2, "served " + part(run, 6, 12));
+    }
+
     /** A host between a module and its node that changes what one of them says. */
     private abstract static class Bent implements Ports.Actions {
         final Ports.Actions to;
