--- a/src/test/java/rushpin/model/FleetBoundsTest.java
+++ b/src/test/java/rushpin/model/FleetBoundsTest.java
@@ -21,15 +21,14 @@
     private static final double CALLS = 400, CALLS_LEAST = 2, OPEN_PER_SERVER = 6, OPEN_LEAST = 0.25;
 
     /** What a module asks for: attempts out at once, and calls to the counter in its first second. */
-    private static final class Watch implements Ports.Actions {
-        private final Ports.Actions to;
+    private static final class Watch extends Bent {
         private final long born;
         private final int most;
         private long now;
         private int out, calls;
 
         Watch(Ports.Actions to, long born, int most) {
-            this.to = to;
+            super(to);
             this.born = born;
             now = born;
             this.most = most;
@@ -39,43 +38,13 @@
         public void send(String id, String server, long patience) {
             out++;
             assertTrue(out <= most, out + " attempts out at a node that may have " + most);
-            to.send(id, server, patience);
+            super.send(id, server, patience);
         }
 
         @Override
         public void count(long customer, long name, double amount, long lifetime) {
             calls += now - born < S ? 1 : 0;
-            to.count(customer, name, amount, lifetime);
-        }
-
-        @Override
-        public void refuse(String id, long retryAfter) {
-            to.refuse(id, retryAfter);
-        }
-
-        @Override
-        public void fail(String id) {
-            to.fail(id);
-        }
-
-        @Override
-        public void probe(String server) {
-            to.probe(server);
-        }
-
-        @Override
-        public void timer(long token, long span) {
-            to.timer(token, span);
-        }
-
-        @Override
-        public void watchList() {
-            to.watchList();
-        }
-
-        @Override
-        public void log(String text) {
-            to.log(text);
+            super.count(customer, name, amount, lifetime);
         }
     }
 
