A gateway that has known no warm server yet goes by the few there are

Cause: bounds a cold server's part by what a warm one took while most were warm. A gateway that starts in a release has not known one, so the least stood in for it, and cold servers were hardly used though warm ones told what one takes.

Change: while nothing is known the few warm ones tell, as before; with none warm it stays as it is.

--- a/src/main/java/rushpin/gateway/Gateway.java
+++ b/src/main/java/rushpin/gateway/Gateway.java
@@ -1138,7 +1138,7 @@
         if (2 * warm >= listed.size()) { warmWork = sentWork / warm; }
         // Few warm ones tell little of all: what one took when most were, half a request at a time at least.
         double known = Math.max(warmWork, 0.5 / cfg.siblings());
-        double most = Math.max(1, cfg.rules().fallMultiple()) * known;
+        double most = warmWork > 0 ? Math.max(1, cfg.rules().fallMultiple()) * known : Double.MAX_VALUE;
         double part = warm > 0 ? Math.min(sentWork / warm, most) : known;
         double work = part * b.warmth() * (now - b.coldAt) * NANO;
         b.coldAt = now;
--- a/src/test/java/rushpin/model/FleetModelTest.java
+++ b/src/test/java/rushpin/model/FleetModelTest.java
@@ -97,6 +97,21 @@
         assertTrue(part(run, 6, 12) > 0.2, "served " + part(run, 6, 12));
     }
 
+    /** Started while most servers are cold: it has known none of them warm, and goes by the few that are. */
+    @Test
+    void aGatewayThatStartsInAReleaseUsesColdServersByWhatTheWarmOnesTake() {
+        double served = 0;
+        for (long seed = 1; seed <= 3; seed++) {
+            Map<String, String> day = Days.with(Days.day("seconds=14 fleet.nodes=2 fleet.spread=2 fleet.zones=1 clients.rate=120"),
+                "kind=servers-replaced at-s=2 for-s=0.5 part=0.8", "kind=nodes-die at-s=5.5 for-s=0.3 part=1");
+            day.put("servers.drain-ms", "1500");
+            Map<String, Object> run = Days.play(day, seed);
+            assertEquals("", run.get("breach"), "seed " + seed);
+            served += part(run, 7, 14) / 3;
+        }
+        assertTrue(served > 0.6, "served " + served);
+    }
+
     private static String broken(Map<String, String> day, World.Module module) {
         return (String) Days.play(day, 3, module).get("breach");
     }
