--- a/src/main/java/rushpin/gateway/Gateway.java
+++ b/src/main/java/rushpin/gateway/Gateway.java
@@ -20,7 +20,7 @@
     private static final long PUSH = SECOND / 4, SILENT_AFTER = SECOND / 2;
     /** Calls to the counter a second at first, by all gateways and by one at least: few leave all to luck. */
     private static final double CALLS_START = 400, CALLS_LEAST = 2;
-    /** Their growth, faster by the second, and its step down. */
+    /** Their growth in a second, larger by the second since the last slow call; and the step down. */
     private static final double CALLS_UP = 0.02, CALLS_MOST_UP = 0.25, CALLS_DOWN = 0.7, CALLS_BACK = 0.5;
     /** So many calls in a row without an answer, and for so long, are a silent counter and no accident. */
     private static final int UNANSWERED = 3;
@@ -42,6 +42,8 @@
     private static final double ALPHA = 0.12, ALPHA_ERR = 0.2, FORGIVE_S = 4, OTHERS_S = 3;
     /** How long what may come back is remembered: a customer after its last use, a server after its end. */
     private static final long REMEMBER = 30 * SECOND;
+    /** Who is avoided is held out for so long after what was sent to its zone last failed. */
+    private static final long HELD = 5 * SECOND;
     /** How many servers each of as many gateways as servers looks at for a request; two are the least. */
     private static final int LOOK = 3;
     /** Further attempts per first one, how many may be saved up; the usual spans that a first one needs. */
@@ -60,11 +62,19 @@
     private final SplittableRandom random;
     private final long born;
     private long now, nextControl, answeredAt, tokensAt, slowedAt, sentWorkAt, restUntil, emptyAt, shift;
+    /** Since when the whole own zone is held out; 0 while it is not. */
+    private long outSince;
+    /** When housekeeping is due next, by how much it was late the last time, and when that was. */
+    private long tickDue, lateBy, lateAt;
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<Long, Customer> customers = new LinkedHashMap<>();
     private final Map<String, Backend> servers = new LinkedHashMap<>();
     private List<Backend> listed = List.of();
     private Backend[] drawing = {};
+    /** Those listed, by zone; made as plans ask for them. */
+    private final Map<Integer, Backend[]> zoned = new HashMap<>();
+    /** When what was sent to a zone last failed, if nothing was answered since. */
+    private final Map<Integer, Long> zoneFailed = new HashMap<>();
     private final Map<Integer, Double> kindLatency = new HashMap<>(), zoneErrors = new HashMap<>();
     private final Backend[] lastHeard = new Backend[RECENT];
     /** One for each class, and behind them those of classes that are no more but for their last requests. */
@@ -100,6 +110,7 @@
         callRate = callStart;
         callTokens = random.nextDouble(callRate);
         nextControl = now + SECOND;
+        tickDue = now + TICK;
         out.timer(0, TICK);
         if (cfg.limits().askForList()) { out.watchList(); }
     }
@@ -133,6 +144,7 @@
         boolean told = kind == ListKind.FULL || kind == ListKind.DELTA || !entries.isEmpty() || emptyAt > 0;
         emptyAt = !told || !listed.isEmpty() ? 0 : emptyAt > 0 ? emptyAt : now;
         drawing = listed.toArray(Backend[]::new);
+        zoned.clear();
         control.boundLevel();
         dispatch();
     }
@@ -187,7 +199,7 @@
         if (result.complete() || job.over) {
             forget(job);
         } else {
-            again(job, result.outcome().provesNeverRan());
+            again(job, backend, result.outcome().provesNeverRan());
         }
         dispatch();
     }
@@ -205,7 +217,7 @@
         Job job = jobs.get(id);
         if (job == null) { return; }
         job.over = true;
-        if (job.backend == null && !job.asking) {
+        if (job.backend == null && job.asking == null) {
             job.lane.queue.remove(job);
             forget(job);
         }
@@ -218,7 +230,9 @@
         if (call == null) { return; }
         if (pending.isEmpty()) { calls.remove(name); }
         boolean answered = outcome == Outcome.OK;
-        boolean slow = now - call.at > cfg.counter().timeout() / 3 || outcome == Outcome.FULL;
+        // What this process itself was late by, busy or not let run, is not the counter's.
+        long late = Math.max(lateAt >= call.at ? lateBy : 0, Math.max(0, now - tickDue));
+        boolean slow = now - call.at - late > cfg.counter().timeout() / 3 || outcome == Outcome.FULL;
         // A full line outlasts the time-out, and no call is answered: back off at the first long wait, but
         // not to nothing while answers come. A line that broke tells nothing of the counter's load.
         if (slow && now - slowedAt > PUSH) {
@@ -226,7 +240,8 @@
             slowedAt = now;
         } else if (answered && !slow && denied) {
             denied = false;
-            callRate *= 1 + Math.min(CALLS_MOST_UP, CALLS_UP * (now - slowedAt) * NANO);
+            // A second has callRate calls: a part of the rate with each would outrun what 100 gateways see.
+            callRate += Math.min(CALLS_MOST_UP, CALLS_UP * (now - slowedAt) * NANO);
             callRate = Math.max(callRate, Math.min(callStart, callRate + CALLS_BACK));
         }
         answeredAt = answered ? now : answeredAt;
@@ -276,11 +291,15 @@
 
     @Override public void timer(long at, long token) {
         now = at;
+        lateBy = now - tickDue;
+        lateAt = now;
+        tickDue = now + TICK;
         out.timer(0, TICK);
         for (Lane lane : lanes) { expire(lane.queue); }
         // A host that never ends a call must not cost a request its answer.
         long due = now - 2 * cfg.counter().timeout();
-        for (ArrayDeque<Call> line : calls.values()) {
+        // What waited for a pool may ask for its quota next: that adds a call.
+        for (ArrayDeque<Call> line : List.copyOf(calls.values())) {
             for (Call call : line) {
                 if (call.at < due) { call.customer.conclude(call, false); }
             }
@@ -352,13 +371,27 @@
         dispatch();
     }
 
-    /** How many listed servers are avoided for their failures. */
-    public int shunned() {
-        int count = 0;
-        for (Backend b : listed) { count += b.shunned ? 1 : 0; }
-        return count;
+    @Override public void zones(long at, int[][] parts) { zones(at, parts, null); }
+
+    @Override public void zones(long at, int[][] parts, int[][] spare) {
+        now = at;
+        // A class that is no more keeps to its last way while there is a plan.
+        for (int i = 0; i < lanes.length; i++) {
+            lanes[i].parts = parts == null ? null : i < parts.length ? parts[i] : lanes[i].parts;
+            lanes[i].spare = spare == null || i >= spare.length ? null : spare[i];
+        }
+        dispatch();
     }
 
+    /** How many listed servers are avoided for their failures. */
+    public int shunned() { return (int) listed.stream().filter(b -> b.shunned).count(); }
+
+    /** Whether a server is avoided, and nothing sent to its zone in the last seconds was answered. */
+    public boolean holdsOut(String id) { return servers.containsKey(id) && servers.get(id).heldOut(); }
+
+    /** Whether a zone, by what was heard of its servers, fails more often than not. */
+    public boolean fails(int zone) { return zoneErrors.getOrDefault(zone, 0.0) > 0.5; }
+
     @Override public void clock(long at, long ahead) {
         now = at;
         shift = ahead;
@@ -472,8 +505,8 @@
             if (poolUsed + lack > poolMost || !mayCall(2)) { return false; }
             double amount = Math.ceil(Math.max(lack, poolMost / gateways) * 1e6) * 1e-6;
             long name = mix(mix(~key) + index) >>> 1;
-            job.asking = true;
             Call call = new Call(this, index, amount, job, now, true);
+            job.asking = call;
             calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(call);
             asked++;
             out.count(key, name, amount, 2 * poolSpan);
@@ -503,7 +536,6 @@
             stake /= Math.max(1e-9, usualStake);
             boolean first = cfg.counter().first() && shared && plan.rate() > 0 && !silent;
             if (first || old && now + 2 * cfg.counter().timeout() < job.aimAt() && mayCall(stake)) {
-                job.asking = true;
                 call(job);
             } else {
                 divide();
@@ -583,6 +615,7 @@
             unpushed = 0;
             long name = mix(mix(key) + index) >>> 1;
             Call call = new Call(this, window, amount, job, now, false);
+            if (job != null) { job.asking = call; }
             calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(call);
             asked++;
             out.count(key, name, amount, 2 * span);
@@ -610,8 +643,9 @@
 
         private void conclude(Call call, boolean answered) {
             Job job = call.job;
-            if (job == null || !job.asking) { return; }
-            job.asking = false;
+            // Ended after it was given up, one of a pool must not let its request in again, past the quota's.
+            if (job == null || job.asking != call) { return; }
+            job.asking = null;
             if (job.over) {
                 forget(job);
             } else if (call.pool) {
@@ -667,7 +701,9 @@
         private int most = cfg.limits().maxAttempts();
         private final long arrived = now;
         private final double vAtArrival = virtualTime;
-        private boolean taken, asking, inQuota, open, over;
+        private boolean taken, inQuota, open, over;
+        /** The call whose answer it waits for, else null. */
+        private Call asking;
         private int attempts;
         private Backend backend;
         private long sentAt, mayHaveRunSince;
@@ -714,6 +750,9 @@
         private final ArrayDeque<Job> queue = new ArrayDeque<>();
         private double share, finishTag, service, units = 1, price = 1, latencySum, waitSum;
         private int arrivals, good;
+        /** For each zone the part of this class that goes there; null where nobody says. */
+        private int[] parts, spare;
+        private boolean stuck;
         private final List<Double> services = new ArrayList<>();
 
         Lane(RequestClass spec) {
@@ -782,10 +821,11 @@
                 while (!lane.queue.isEmpty()) { giveUp(lane.queue.poll()); }
             }
         }
+        for (Lane lane : lanes) { lane.stuck = false; }
         while (inFlight < control.level && now >= restUntil) {
             Lane next = null;
             for (Lane lane : lanes) {
-                boolean may = !lane.queue.isEmpty() && lane.first() != null;
+                boolean may = !lane.stuck && !lane.queue.isEmpty() && lane.first() != null;
                 next = may && (next == null || lane.startTag() < next.startTag()) ? lane : next;
             }
             if (next == null) { return; }
@@ -795,8 +835,11 @@
                 giveUp(job);
                 continue;
             }
-            Backend backend = choose(job);
-            if (backend == null) { return; }
+            Backend backend = choose(job, null);
+            // Where a plan lets nobody be used for this class, others may go on.
+            next.stuck = backend == null;
+            if (next.stuck && next.parts == null) { return; }
+            if (next.stuck) { continue; }
             double start = next.startTag();
             next.queue.remove(job);
             virtualTime = start;
@@ -1015,7 +1058,7 @@
     private final class Backend {
         private final String id;
         private Server entry;
-        private boolean ready, shunned;
+        private boolean ready, shunned, fails;
         private final LinkedHashSet<Job> outstanding = new LinkedHashSet<>();
         private double latency, errors, load;
         private long heard = now, coldAt = now, reported = born, goneAt;
@@ -1034,6 +1077,11 @@
 
         boolean blank() { return goneAt > 0 && now - goneAt >= REMEMBER && outstanding.isEmpty(); }
 
+        /** What nothing was sent to for a while may be well again: who says so no more has to look. */
+        boolean heldOut() {
+            return shunned && fails && now - zoneFailed.getOrDefault(entry.zone(), now - HELD) < HELD;
+        }
+
         boolean cold() { return entry.startedAt() > 0 && now - entry.startedAt() < cfg.rules().coldSpan(); }
 
         double warmth() {
@@ -1083,6 +1131,8 @@
             latency = lately(latency, kindLatency.get(entry.kind()));
             errors = risk();
             heard = now;
+            fails = !good && o != Outcome.FULL;
+            zoneFailed.compute(entry.zone(), (z, at) -> fails ? (Long) now : good ? null : at);
             if (good) { lastHeard[heardCount++ % RECENT] = this; }
             latency += ALPHA * (ratio - latency);
             errors += (o == Outcome.CONNECT_FAILED ? 1 : good ? ALPHA_ERR : 2 * ALPHA_ERR) * (bad - errors);
@@ -1094,11 +1144,11 @@
     }
 
     /** All that drop a bound request's repeats, else some by chance: ranked alike, few would get all. */
-    private List<Backend> candidates(Job job, boolean bound) {
+    private List<Backend> candidates(Job job, boolean bound, Backend[] drawing) {
         if (bound) { return listed.stream().filter(b -> b.groupedWith(job)).toList(); }
         int most = Math.max(2, LOOK * listed.size() / cfg.siblings());
-        int all = listed.size();
-        if (most >= all) { return listed; }
+        int all = drawing.length;
+        if (most >= all) { return drawing == this.drawing ? listed : Arrays.asList(drawing); }
         List<Backend> some = new ArrayList<>(most + RECENT);
         for (int i = 0; i < most; i++) {
             // The first of an order that is shuffled only so far as it is needed.
@@ -1109,18 +1159,57 @@
             some.add(drawn);
         }
         for (Backend b : lastHeard) {
-            if (b != null && b.ready) { some.add(b); }
+            boolean there = drawing == this.drawing || b != null && b.entry.zone() == drawing[0].entry.zone();
+            if (b != null && b.ready && there) { some.add(b); }
         }
         return some;
     }
 
-    /** The candidate that should answer soonest; null if none may be used now. */
-    private Backend choose(Job job) {
+    /** Whom to send to; null if none may be used now. Under a plan within the zones that it names. */
+    private Backend choose(Job job, Backend failed) {
         RequestClass spec = job.spec;
         boolean bound = job.mayHaveRunSince > 0 && spec.repeat() == Repeat.KEYED && spec.group() != Group.ALL;
+        if (bound || job.lane.parts == null) { return soonest(job, candidates(job, bound, drawing)); }
+        int[] left = job.lane.parts.clone();
+        Backend best = failed == null && job.lane.spare != null ? wayOut(job) : null;
+        for (int zone; best == null && (zone = draw(left, failed == null ? -1 : failed.entry.zone())) >= 0;) {
+            best = soonest(job, candidates(job, false, there(zone)));
+            left[zone] = 0;
+        }
+        return best;
+    }
+
+    private Backend[] there(int zone) {
+        return zoned.computeIfAbsent(zone,
+            z -> listed.stream().filter(b -> b.entry.zone() == z).toArray(Backend[]::new));
+    }
+
+    private boolean heldOut(int zone) { return Arrays.stream(there(zone)).allMatch(Backend::heldOut); }
+
+    /** Where the plan says that it is borne: a fifth of that at first, twice as much each second. */
+    private Backend wayOut(Job job) {
+        outSince = !heldOut(cfg.zone()) ? 0 : outSince > 0 ? outSince : now;
+        double grown = Math.min(1, 0.2 * Math.pow(2, (now - outSince) * NANO));
+        double at = random.nextDouble() / grown;
+        int z = -1;
+        while (at >= 0 && ++z < job.lane.spare.length) { at -= job.lane.spare[z] / 1e3; }
+        return outSince == 0 || at >= 0 || heldOut(z) ? null : soonest(job, candidates(job, false, there(z)));
+    }
+
+    /** A zone by its part of what is left, the one to avoid after all others; -1 if nothing is. */
+    private int draw(int[] left, int avoid) {
+        int others = 0, zone = -1;
+        for (int i = 0; i < left.length; i++) { others += i == avoid ? 0 : left[i]; }
+        if (others == 0) { return avoid >= 0 && avoid < left.length && left[avoid] > 0 ? avoid : -1; }
+        for (int at = random.nextInt(others); at >= 0;) { at -= ++zone == avoid ? 0 : left[zone]; }
+        return zone;
+    }
+
+    /** The candidate that should answer soonest; null if none may be used now. */
+    private Backend soonest(Job job, List<Backend> candidates) {
         Backend best = null;
         double bestScore = Double.MAX_VALUE;
-        for (Backend b : candidates(job, bound)) {
+        for (Backend b : candidates) {
             // Gateways that know as little as each other must not all take the first of a list.
             double score = b.score() * (1 + 0.1 * random.nextDouble());
             if (score < bestScore && (!b.cold() || coldRoom(b, job))) {
@@ -1167,18 +1256,21 @@
     }
 
     /** After an attempt that did not end the request: another one, or the final answer. */
-    private void again(Job job, boolean neverRan) {
+    private void again(Job job, Backend failed, boolean neverRan) {
         RequestClass spec = job.spec;
         boolean mayRepeat = job.mayHaveRunSince == 0 || spec.repeat() == Repeat.SAFE
             || spec.repeat() == Repeat.KEYED && now - job.mayHaveRunSince + TICK < spec.keyWindow();
         boolean inTime = now + (long) (job.lane.service * SECOND / 2) < job.aimAt();
         double price = neverRan ? 0 : 1;
         boolean may = mayRepeat && inTime && retryTokens >= price;
-        Backend backend = may && job.attempts < job.most ? choose(job) : null;
+        // What fails in one zone must not flood the plan's others: each move is paid, and bounded by that.
+        Backend left = retryTokens >= 1 ? failed : null;
+        Backend backend = may && job.attempts < job.most ? choose(job, left) : null;
         if (backend == null) {
             giveUp(job);
         } else {
-            retryTokens -= price;
+            boolean moves = job.lane.parts != null && backend.entry.zone() != failed.entry.zone();
+            retryTokens = Math.max(0, retryTokens - (moves ? 1 : price));
             send(job, backend);
         }
     }
--- a/src/main/java/rushpin/gateway/Ports.java
+++ b/src/main/java/rushpin/gateway/Ports.java
@@ -257,6 +257,25 @@
          */
         void settings(long now, Settings next, int[] was);
 
+        /**
+         * A plan of where requests go from now on. For each a zone is drawn by these parts, and a server within it; where
+         * nobody there may be used, the plan's other zones follow by their parts. A zone that is not named gets nothing but
+         * what a group binds to it.
+         *
+         * @param parts for each class, and in it for each zone, thousandths with one above 0 at least; null for a class that
+         *     goes wherever its answer should come from soonest, or for all. Not to be changed any more
+         */
+        void zones(long now, int[][] parts);
+
+        /**
+         * The same, with a way out: while all servers of the own zone are held out, first attempts may go to others too.
+         *
+         * @param spare for each class, and in it for each zone, the thousandths that may; null for none
+         */
+        default void zones(long now, int[][] parts, int[][] spare) {
+            zones(now, parts);
+        }
+
         /** The machines' clock has been set: it is so far ahead of this node's, in nanoseconds; below 0 if behind. */
         void clock(long now, long ahead);
     }
--- a/src/main/java/rushpin/lifecycle/Lifecycle.java
+++ b/src/main/java/rushpin/lifecycle/Lifecycle.java
@@ -122,6 +122,9 @@
         if (!closed && age >= bounds.grace) {
             closed = true;
             port.stopAccepting(true);
+            // What was waiting may have been taken just now, and is not in the count.
+            port.wake(0);
+            return;
         }
         if (age >= bounds.drain) {
             stop(now, connections);
--- a/src/main/java/rushpin/membership/Json.java
+++ b/src/main/java/rushpin/membership/Json.java
@@ -6,10 +6,13 @@
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ContainerNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
 
 /**
  * JSON text as a tree, by the library's streaming reader alone. Its object mapper costs a start a quarter of its CPU
@@ -25,40 +28,74 @@
     /** The tree of the first value of a text; a missing node where there is none. */
     public static JsonNode read(String text) throws IOException {
         try (JsonParser parser = FACTORY.createParser(text)) {
-            return parser.nextToken() == null ? MissingNode.getInstance() : value(parser);
+            Tree tree = new Tree();
+            while (parser.nextToken() != null) {
+                JsonNode whole = tree.grow(parser);
+                if (whole != null) {
+                    return whole;
+                }
+            }
+            // The library itself refuses a text that ends within a value.
+            return MissingNode.getInstance();
         }
     }
 
-    private static JsonNode value(JsonParser parser) throws IOException {
-        JsonNodeFactory make = JsonNodeFactory.instance;
-        return switch (parser.currentToken()) {
-            case START_OBJECT -> {
-                ObjectNode object = make.objectNode();
-                while (parser.nextToken() == JsonToken.FIELD_NAME) {
-                    String key = parser.currentName();
-                    parser.nextToken();
-                    object.set(key, value(parser));
+    /** A reader that is fed bytes as they come, and gives {@link JsonToken#NOT_AVAILABLE} where it needs more. */
+    public static JsonParser fed() throws IOException {
+        return FACTORY.createNonBlockingByteArrayParser();
+    }
+
+    /** One value after the other, a token at a time; what is not whole yet waits here. */
+    public static final class Tree {
+        private final Deque<ContainerNode<?>> open = new ArrayDeque<>();
+        private String key;
+
+        /** Whether a value has begun and not ended. */
+        public boolean isOpen() {
+            return !open.isEmpty();
+        }
+
+        /** Takes the parser's token; the value that it completes, or null if there is more to come. */
+        public JsonNode grow(JsonParser parser) throws IOException {
+            JsonNodeFactory make = JsonNodeFactory.instance;
+            return switch (parser.currentToken()) {
+                case FIELD_NAME -> {
+                    key = parser.currentName();
+                    yield null;
                 }
-                yield object;
-            }
-            case START_ARRAY -> {
-                ArrayNode array = make.arrayNode();
-                while (parser.nextToken() != JsonToken.END_ARRAY) {
-                    array.add(value(parser));
+                case START_OBJECT -> begin(make.objectNode());
+                case START_ARRAY -> begin(make.arrayNode());
+                case END_OBJECT, END_ARRAY -> {
+                    ContainerNode<?> ended = open.pop();
+                    yield open.isEmpty() ? ended : null;
                 }
-                yield array;
-            }
-            case VALUE_STRING -> make.textNode(parser.getText());
-            case VALUE_TRUE -> make.booleanNode(true);
-            case VALUE_FALSE -> make.booleanNode(false);
-            case VALUE_NULL -> make.nullNode();
-            case VALUE_NUMBER_FLOAT -> make.numberNode(parser.getDoubleValue());
-            case VALUE_NUMBER_INT -> switch (parser.getNumberType()) {
-                case INT -> make.numberNode(parser.getIntValue());
-                case LONG -> make.numberNode(parser.getLongValue());
-                default -> make.numberNode(parser.getBigIntegerValue());
+                case VALUE_STRING -> put(make.textNode(parser.getText()));
+                case VALUE_TRUE -> put(make.booleanNode(true));
+                case VALUE_FALSE -> put(make.booleanNode(false));
+                case VALUE_NULL -> put(make.nullNode());
+                case VALUE_NUMBER_FLOAT -> put(make.numberNode(parser.getDoubleValue()));
+                case VALUE_NUMBER_INT -> put(switch (parser.getNumberType()) {
+                    case INT -> make.numberNode(parser.getIntValue());
+                    case LONG -> make.numberNode(parser.getLongValue());
+                    default -> make.numberNode(parser.getBigIntegerValue());
+                });
+                default -> throw new JsonParseException(parser, "a value was expected, not " + parser.currentToken());
             };
-            default -> throw new JsonParseException(parser, "a value was expected, not " + parser.currentToken());
-        };
+        }
+
+        private JsonNode begin(ContainerNode<?> container) {
+            put(container);
+            open.push(container);
+            return null;
+        }
+
+        private JsonNode put(JsonNode value) {
+            if (open.peek() instanceof ObjectNode object) {
+                object.set(key, value);
+            } else if (open.peek() instanceof ArrayNode array) {
+                array.add(value);
+            }
+            return open.isEmpty() ? value : null;
+        }
     }
 }
--- a/src/main/java/rushpin/net/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -14,6 +14,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.DecoderException;
@@ -37,6 +38,7 @@
 import java.math.BigDecimal;
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
+import java.net.UnixDomainSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -63,6 +65,11 @@
     private static final long STOOD = 4 * SWEEP;
     /** For how long requests are decoded before the loop looks at its sockets again. */
     private static final long SLICE = MS;
+    /**
+     * On the platform SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more after SIGTERM, of
+     * which 0.3 s are left for hearing of it late.
+     */
+    private static final long DRAIN_TAKES = 400_000_000L, DRAIN_WAITS = 3_000_000_000L;
 
     private final Front node;
     private final EventLoop loop;
@@ -76,9 +83,10 @@
     private long swept = System.nanoTime();
     private boolean turning;
     private Channel listening;
-    /** The listening socket where other processes have theirs at the same address; else null. */
-    private ServerSocketChannel beside;
+    /** The listening socket if it is this process's own, be it beside others' at the same address; else null. */
+    private ServerSocketChannel own;
     private boolean draining;
+    private long drainingSince;
     private boolean stopped;
 
     /**
@@ -121,16 +129,25 @@
 
     /** Begins to listen. */
     public CompletableFuture<Void> bind() {
-        return told(accepting(Transport.listening(loop, listen).option(ChannelOption.SO_BACKLOG, BACKLOG)).bind(listen));
+        return listen instanceof UnixDomainSocketAddress
+            ? told(accepting(Transport.listening(loop, listen).option(ChannelOption.SO_BACKLOG, BACKLOG)).bind(listen))
+            : bindOwn(false);
     }
 
     /** Begins to listen beside other processes at the same address; each has a queue of its own. */
     public CompletableFuture<Void> bindBeside() {
+        return bindOwn(true);
+    }
+
+    private CompletableFuture<Void> bindOwn(boolean besideOthers) {
         try {
-            beside = ServerSocketChannel.open();
-            beside.setOption(StandardSocketOptions.SO_REUSEADDR, true).setOption(StandardSocketOptions.SO_REUSEPORT, true)
-                .bind(listen, BACKLOG);
-            return acceptAt(beside);
+            own = ServerSocketChannel.open();
+            own.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            if (besideOthers) {
+                own.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            }
+            own.bind(listen, BACKLOG);
+            return acceptAt(own);
         } catch (IOException e) {
             return CompletableFuture.failedFuture(e);
         }
@@ -202,38 +219,50 @@
     /** From now on each connection ends with its next answer. */
     public void closeAfterAnswers() {
         draining = true;
+        drainingSince = node.now();
+    }
+
+    /** What SIGKILL finds unanswered is lost if it came late: it is to be over by then, by whichever answer. */
+    private void endBeforeKill(OpenRequest taken) {
+        if (draining && turns == null) {
+            taken.hurry(taken.dueAt() - (drainingSince + DRAIN_TAKES + Math.min(taken.span(), DRAIN_WAITS)));
+        }
     }
 
     /**
      * The kernel resets what waits in the queue of a socket of one's own when it is closed, though another process
      * listens at the same address: so all of it is taken first. What comes between this and the close, or is in the
-     * middle of its handshake, is lost still.
+     * middle of its handshake, is lost still, and so is what goes beyond {@code places}.
      */
-    private void takeWhatWaits() {
+    private void takeWhatWaits(int places) {
         try {
-            SocketChannel next = beside == null ? null : beside.accept();
-            for (int i = 0; next != null; i++) {
+            SocketChannel next = own == null || places <= 0 ? null : own.accept();
+            for (int i = 1; next != null; i++) {
                 listening.pipeline().fireChannelRead(new NioSocketChannel(listening, next));
-                next = i < BACKLOG ? beside.accept() : null;
+                next = i < places ? own.accept() : null;
             }
-            if (beside != null) {
+            if (own != null) {
                 // At once, and not by way of the pipeline: each microsecond counts here.
-                beside.close();
-                beside = null;
+                own.close();
+                own = null;
             }
         } catch (IOException e) {
             Trouble.report("the listening socket", e);
         }
     }
 
-    /** Nobody comes any more: the listening socket goes, and the connections between requests if they are to. */
+    /**
+     * Nobody comes any more: the listening socket goes, and the connections between requests if they are to. One
+     * whose request waits unread, or whose answer is on its way out, ends with that answer.
+     */
     public void stopAccepting(boolean idleToo) {
         stopped = true;
-        takeWhatWaits();
+        // One place less than the bound: at it, a newcomer would end one that waits to be read.
+        takeWhatWaits(idleToo ? most - 1 - sessions.size() : BACKLOG + 1);
         listening.close();
-        for (Session session : List.copyOf(sessions)) {
-            if (idleToo && session.isBetween()) {
-                session.channel.close();
+        if (idleToo) {
+            for (Session session : List.copyOf(sessions)) {
+                session.leave();
             }
         }
     }
@@ -319,6 +348,18 @@
             return current == null && !begun;
         }
 
+        /** Ends between requests. Each is asked just before its own end: those before it took time. */
+        private void leave() {
+            if (isBetween() && !closing) {
+                // What came since the loop's last look would be reset by a close, and what is answered is no loss.
+                ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+            }
+            if (isBetween() && !closing) {
+                closing = true;
+                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext context) {
             sessions.add(this);
@@ -526,6 +567,7 @@
                 Reply reply = new Reply(way.service(), whole.protocolVersion().equals(HttpVersion.HTTP_1_1));
                 upload = more ? uploadTo(way.service().loop()) : null;
                 reply.of = RequestReader.read(whole, content, way, node.now(), reply, upload, length);
+                endBeforeKill(reply.of);
                 current = reply;
                 reply.take();
             } catch (Refusal e) {
--- a/src/main/java/rushpin/net/CounterClient.java
+++ b/src/main/java/rushpin/net/CounterClient.java
@@ -18,6 +18,7 @@
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import rushpin.gateway.Ports.Outcome;
 
@@ -91,7 +92,8 @@
         private final long name, at = System.nanoTime();
         private final String uri;
         private Line line;
-        private boolean written, over;
+        private long writtenAt;
+        private boolean written, over, readFirst;
 
         Call(Place place, long name, double amount, long lifetime) {
             this.place = place;
@@ -119,7 +121,23 @@
             if (over) {
                 return;
             }
+            long left = place.left(this);
+            if (left > 0) {
+                loop.schedule(this::expire, left, TimeUnit.NANOSECONDS);
+                return;
+            }
+            if (!readFirst) {
+                // This process may have been busy, or not let run, and an answer that came in time lie there unread: the
+                // loop reads before it looks at its timers again. All wait for that, so calls end in their order.
+                readFirst = true;
+                loop.schedule(this::expire, 1, TimeUnit.NANOSECONDS);
+                return;
+            }
             place.waiting.remove(this);
+            if (line != null) {
+                // Those before it are due as well, though their timers may have been set a moment later.
+                line.endBefore(this);
+            }
             end(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, 0);
             if (line != null) {
                 line.expired(this);
@@ -155,6 +173,16 @@
             }
         }
 
+        /**
+         * For how much longer a call is waited for. Its time begins when it is written: a process that was busy between
+         * took that for the counter's silence, asked less, refused more, and was the busier for those who came again. What
+         * is not written yet waits for what is, since calls end in their order.
+         */
+        long left(Call of) {
+            Call by = of.written ? of : last != null && !last.over && last.written ? last : null;
+            return by == null ? 0 : by.writtenAt + timeout - System.nanoTime();
+        }
+
         void renew() {
             if (line != null) {
                 Line old = line;
@@ -210,7 +238,19 @@
             DefaultFullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
                 call.uri);
             message.headers().set(HttpHeaderNames.HOST, "counter").set(HttpHeaderNames.CONTENT_LENGTH, 0);
-            channel.write(message).addListener(done -> call.written = done.isSuccess());
+            channel.write(message).addListener(done -> {
+                call.written = done.isSuccess();
+                call.writtenAt = System.nanoTime();
+            });
+        }
+
+        void endBefore(Call call) {
+            for (Call before : List.copyOf(pending)) {
+                if (before == call) {
+                    return;
+                }
+                before.end(before.written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, 0);
+            }
         }
 
         void expired(Call call) {
--- a/src/main/java/rushpin/net/ServerPool.java
+++ b/src/main/java/rushpin/net/ServerPool.java
@@ -31,7 +31,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import rushpin.gateway.Ports.Outcome;
+import rushpin.gateway.Ports.Request;
 import rushpin.gateway.Ports.Server;
 import rushpin.membership.Member;
 import rushpin.membership.Roll;
@@ -95,11 +97,13 @@
     /** The same by address: a list of thousands must not cost a look at all for each of them. */
     private final Map<SocketAddress, Endpoint> places = new HashMap<>();
     private int held, most = Integer.MAX_VALUE;
-    private final long idleLimit;
+    private long idleLimit;
     private final Slots slots;
     private final double mostUnits;
     private final String host;
     private final Future<?> sweep;
+    /** Where the servers take so many connections from all processes together; null where they don't. */
+    private GroupGate gate;
 
     /** Holds as many connections as there are slots. */
     public ServerPool(Listener node, EventLoop loop, Upstream config, Slots slots) {
@@ -124,7 +128,7 @@
     }
 
     /** One run of an app server at one address; a restart or a move makes a new one. */
-    private static final class Endpoint {
+    private final class Endpoint {
         private final Server server;
         private final SocketAddress address;
         private final long startedAt;
@@ -151,7 +155,7 @@
         void retire() {
             retired = true;
             while (!idle.isEmpty()) {
-                idle.poll().channel.close();
+                close(idle.poll().channel);
             }
         }
     }
@@ -219,22 +223,40 @@
         places.remove(endpoint.address, endpoint);
     }
 
+    /**
+     * From now on keeps to a permit at its servers, before the first attempt; {@code halfOpen} nanoseconds after the last
+     * word of ours they end a connection, no request is waited for beyond {@code longest} after a lease, and {@code tenants}
+     * tells whose a request is.
+     */
+    public GroupGate keepTo(long halfOpen, long longest, Function<Request, String> tenants) {
+        // With the sweep's step, an idle one is gone before its server would end it.
+        idleLimit = Math.min(idleLimit, halfOpen * 3 / 4 - SWEEP);
+        gate = new GroupGate(loop, halfOpen, longest, REST, tenants, this::shrink);
+        return gate;
+    }
+
     /** Begins an attempt; its outcome is told later, never from within this call. */
     public void send(OpenRequest of, String server, long patience) {
         Attempt attempt = new Attempt(of, server, patience);
-        Endpoint endpoint = endpoints.get(server);
+        if (gate == null ? !begin(attempt) : !attempt.waits()) {
+            loop.execute(() -> attempt.end(Outcome.NOT_SENT, 0, null));
+        }
+    }
+
+    /** False if there is no connection for it. */
+    private boolean begin(Attempt attempt) {
+        Endpoint endpoint = endpoints.get(attempt.server);
         Connection ready = endpoint == null ? null : endpoint.rested();
         boolean may = ready != null || endpoint != null && mayConnect(endpoint);
-        if (!may) {
-            loop.execute(() -> attempt.end(Outcome.NOT_SENT, 0, null));
-            return;
+        if (may) {
+            attempt.endsAfter(attempt.patience - (System.nanoTime() - attempt.sentAt));
         }
-        attempt.endsAfter(patience);
         if (ready != null) {
             ready.write(attempt);
-        } else {
+        } else if (may) {
             connect(endpoint, attempt);
         }
+        return may;
     }
 
     /** Takes a connection and a connect, both or neither. */
@@ -242,7 +264,8 @@
         if (!slots.takeConnect()) {
             return false;
         }
-        boolean may = takeConnection() || makeRoom(to) && takeConnection();
+        // Under a permit what gives way counts until its other side has ended it.
+        boolean may = takeConnection() || gate == null && makeRoom(to) && takeConnection();
         if (!may) {
             slots.giveConnect();
         }
@@ -251,6 +274,10 @@
 
     private boolean takeConnection() {
         boolean may = held < most && slots.takeConnection();
+        if (may && gate != null && !gate.takeConnection()) {
+            slots.giveConnection();
+            return false;
+        }
         held += may ? 1 : 0;
         return may;
     }
@@ -261,10 +288,15 @@
             held--;
             slots.giveConnection();
         });
+        if (gate != null) {
+            // Only here: a connection that is kept would keep its first request.
+            connecting.channel().closeFuture().addListener(closed -> attempt.carried());
+            gate.follow(connecting.channel(), connecting);
+        }
         connecting.addListener(done -> {
             slots.giveConnect();
             if (!done.isSuccess() || endpoint.retired) {
-                connecting.channel().close();
+                close(connecting.channel());
                 attempt.end(Outcome.CONNECT_FAILED, 0, null);
                 return;
             }
@@ -284,18 +316,30 @@
         return closeOne(wanted);
     }
 
-    private static boolean closeOne(Endpoint endpoint) {
+    private boolean closeOne(Endpoint endpoint) {
         Connection oldest = endpoint.idle.pollLast();
         if (oldest != null) {
-            oldest.channel.close();
+            close(oldest.channel);
         }
         return oldest != null;
     }
 
+    private void close(Channel channel) {
+        if (gate == null) {
+            channel.close();
+        } else {
+            gate.part(channel);
+        }
+    }
+
+    private boolean mustShrink() {
+        return slots.mustShrink() || gate != null && gate.mustShrink();
+    }
+
     /** Lent connections are wanted back: the idle ones go at once, the others as they get free. */
     public void shrink() {
         for (Endpoint endpoint : endpoints.values()) {
-            while (slots.mustShrink() && closeOne(endpoint)) {
+            while (mustShrink() && closeOne(endpoint)) {
                 // As many as are wanted, and are idle.
             }
         }
@@ -305,7 +349,7 @@
         long due = System.nanoTime() - idleLimit;
         for (Endpoint endpoint : endpoints.values()) {
             while (!endpoint.idle.isEmpty() && endpoint.idle.peekLast().idleSince - due < 0) {
-                endpoint.idle.pollLast().channel.close();
+                close(endpoint.idle.pollLast().channel);
             }
         }
     }
@@ -315,10 +359,14 @@
         private final OpenRequest of;
         private final String server;
         private final long patience;
-        private long sentAt = System.nanoTime();
+        private long sentAt = System.nanoTime(), begunAt = sentAt;
         private boolean written, over;
         private Connection on;
         private Future<?> expiry;
+        /** Under a permit: whether its turn is yet to come, and what carries it then. */
+        private boolean waiting;
+        private GroupGate.Sending turn;
+        private GroupGate.Carrying by;
 
         Attempt(OpenRequest of, String server, long patience) {
             this.of = of;
@@ -326,6 +374,22 @@
             this.patience = patience;
         }
 
+        /** Sends it now or when there is a connection for it; false if there will be none. */
+        boolean waits() {
+            endsAfter(patience);
+            turn = Turn.of(ServerPool.this, this);
+            waiting = true;
+            waiting = gate.send(turn) && by == null;
+            return waiting || by != null;
+        }
+
+        /** What carried it does so no more. */
+        void carried() {
+            if (by != null) {
+                by.end();
+            }
+        }
+
         void endsAfter(long span) {
             if (expiry != null) {
                 expiry.cancel(false);
@@ -339,8 +403,13 @@
         }
 
         void expire() {
+            if (waiting) {
+                gate.leave(turn);
+                turn.unsent();
+                return;
+            }
             if (on != null) {
-                on.channel.close();
+                close(on.channel);
             }
             end(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, 0, null);
         }
@@ -356,7 +425,7 @@
             if (on != null) {
                 on.attempt = null;
             }
-            node.attemptEnded(of, outcome, System.nanoTime() - sentAt, server, units, body);
+            node.attemptEnded(of, outcome, System.nanoTime() - begunAt, server, units, body);
         }
 
         /** The attempt's end for the module, while its answer goes on. */
@@ -364,7 +433,7 @@
             over = true;
             expiry.cancel(false);
             on.attempt = null;
-            node.answerBegins(of, System.nanoTime() - sentAt, server, units, passage, length);
+            node.answerBegins(of, System.nanoTime() - begunAt, server, units, passage, length);
         }
 
         /** The request's last byte was written: the app server begins. */
@@ -378,6 +447,7 @@
             if (of.rest() != null) {
                 // For how long its body came says nothing of the app server.
                 sentAt = System.nanoTime();
+                begunAt = sentAt;
             }
         }
 
@@ -412,12 +482,72 @@
         }
     }
 
+    /** An attempt in a group's line; only where there is a group. */
+    private final class Turn implements GroupGate.Sending {
+        private final Attempt of;
+
+        private Turn(Attempt of) {
+            this.of = of;
+        }
+
+        /** Made here, and known there by its interface alone: without a group neither is loaded. */
+        static GroupGate.Sending of(ServerPool pool, Attempt attempt) {
+            return pool.new Turn(attempt);
+        }
+
+        @Override
+        public Request request() {
+            return of.of.request();
+        }
+
+        @Override
+        public long patience() {
+            return of.patience;
+        }
+
+        @Override
+        public boolean begin(GroupGate.Carrying carrying) {
+            if (of.of.isAnswered()) {
+                // Its client has left meanwhile.
+                carrying.end();
+                unsent();
+                return true;
+            }
+            of.by = carrying;
+            // What it waited for here is no matter of the server's.
+            of.begunAt = System.nanoTime();
+            boolean may = ServerPool.this.begin(of);
+            of.by = may ? carrying : null;
+            of.waiting &= !may;
+            return may;
+        }
+
+        @Override
+        public void makeRoom() {
+            Endpoint wanted = endpoints.get(of.server);
+            if (wanted == null) {
+                gate.leave(this);
+                unsent();
+            } else if (wanted.idle.isEmpty()) {
+                // One that rests there yet comes sooner than a new one could.
+                ServerPool.this.makeRoom(wanted);
+            }
+        }
+
+        @Override
+        public void unsent() {
+            of.waiting = false;
+            loop.execute(() -> of.end(Outcome.NOT_SENT, 0, null));
+        }
+    }
+
     /** A connection to an app server. */
     private final class Connection extends AnswerHandler implements Passage.Source {
         private final AnswerDecoder decoder;
         private Channel channel;
         private Endpoint endpoint;
         private Attempt attempt;
+        private GroupGate.Carrying by;
         private boolean reusable;
         private long idleSince;
         private Future<?> unfinished;
@@ -435,6 +565,10 @@
         }
 
         void write(Attempt next) {
+            by = next.by;
+            if (by != null) {
+                by.on(channel);
+            }
             if (next.over) {
                 release();
                 return;
@@ -450,7 +584,7 @@
 
         private void wrote(Attempt of, boolean success) {
             if (!success) {
-                channel.close();
+                close(channel);
             }
             of.whole(success);
         }
@@ -484,7 +618,7 @@
                             .addListener(done -> wrote(next, done.isSuccess()));
                     } else {
                         // The app server never had all of it, so it has not begun.
-                        channel.close();
+                        close(channel);
                         next.broke();
                     }
                 }
@@ -508,7 +642,7 @@
             channel.config().setAutoRead(true);
             reusable = HttpUtil.isKeepAlive(answer);
             if (!reusable) {
-                channel.close();
+                close(channel);
             }
         }
 
@@ -520,18 +654,32 @@
         /** The client has gone in the middle: what is left of the answer is nobody's. */
         @Override
         public void stopped() {
-            channel.close();
+            close(channel);
         }
 
         private void release() {
-            if (endpoint.retired || !channel.isActive() || slots.mustShrink()) {
-                channel.close();
-            } else {
-                idleSince = System.nanoTime();
-                endpoint.idle.push(this);
+            if (endpoint.retired || !channel.isActive() || mustShrink()) {
+                close(channel);
+                return;
+            }
+            idleSince = System.nanoTime();
+            endpoint.idle.push(this);
+            carried();
+        }
+
+        private void carried() {
+            if (by != null) {
+                by.end();
+                by = null;
             }
         }
 
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            super.channelInactive(context);
+            carried();
+        }
+
         @Override
         protected boolean expectsAnswer() {
             return attempt != null && attempt.written;
@@ -544,7 +692,7 @@
             of.on = null;
             reusable = HttpUtil.isKeepAlive(answer);
             if (!reusable) {
-                channel.close();
+                close(channel);
             }
             Outcome outcome = outcome(answer);
             of.end(outcome, outcome == Outcome.OK ? units(answer) : 0, body);
@@ -564,7 +712,7 @@
             if (attempt != null) {
                 awaitRest(!clean);
             } else if (!clean) {
-                channel.close();
+                close(channel);
             } else if (reusable) {
                 reusable = false;
                 awaitRest(false);
@@ -614,7 +762,7 @@
                 endpoint.idle.remove(this);
             }
             // The close comes first: a further attempt must not meet this one on an open connection.
-            channel.close();
+            close(channel);
             if (attempt != null) {
                 attempt.broke();
             }
--- a/src/test/java/rushpin/lifecycle/LifecycleTest.java
+++ b/src/test/java/rushpin/lifecycle/LifecycleTest.java
@@ -23,6 +23,8 @@
         final Lifecycle lifecycle;
         long now = 1_000;
         int open;
+        /** Connections that nobody has accepted yet. */
+        int waiting;
 
         Process(boolean shared) {
             lifecycle = new Lifecycle(BOUNDS, shared, this, now);
@@ -36,6 +38,8 @@
         @Override
         public void stopAccepting(boolean idleToo) {
             did.add(idleToo ? "stop" : "stop accepting");
+            open += waiting;
+            waiting = 0;
         }
 
         @Override
@@ -85,6 +89,19 @@
         assertEquals(State.STOPPED, p.lifecycle.state());
     }
 
+    /** Counted before it was taken, its request would end with the process. */
+    @Test
+    void whatIsTakenWithTheLastLookIsWaitedFor() {
+        Process p = new Process(false);
+        p.lifecycle.serves(p.now);
+        p.waiting = 1;
+        p.lifecycle.terminate(p.now, p.open);
+        p.pass(2_000);
+        assertEquals(List.of("close after answers", "stop"), p.did);
+        p.ended();
+        assertEquals("end 0", p.did.get(2));
+    }
+
     @Test
     void whoHandsOverStopsAcceptingAtOnce() {
         Process p = new Process(true);
--- /dev/null
+++ b/src/test/java/rushpin/net/DiscoveryClientTest.java
@@ -0,0 +1,208 @@
+package rushpin.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import rushpin.membership.Names;
+
+/** A watch that ends, hangs or falls silent, on loopback sockets and by short spans. */
+@Timeout(120)
+class DiscoveryClientTest {
+    private static final Names NAMES = new Names(List.of(), List.of(), List.of(), List.of());
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    private record Asked(String first, Socket socket) {
+        void say(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        /** Returns once the other side has ended it. */
+        void ended() throws IOException {
+            try {
+                assertEquals(-1, socket.getInputStream().read());
+            } catch (java.net.SocketException e) {
+                // Reset, because it had bytes to read: ended too.
+            }
+        }
+    }
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final BlockingQueue<Asked> asked = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Long> heard = new LinkedBlockingQueue<>();
+    private volatile Runnable still = () -> { };
+    private ServerSocket listening;
+    private DiscoveryClient client;
+
+    @BeforeEach
+    void listen() throws IOException {
+        listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread thread = new Thread(() -> {
+            try {
+                while (true) {
+                    Socket socket = listening.accept();
+                    socket.setSoTimeout(60_000);
+                    BufferedReader in = new BufferedReader(
+                        new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+                    String first = in.readLine();
+                    for (String line = first; line != null && !line.isEmpty();) {
+                        line = in.readLine();
+                    }
+                    asked.add(new Asked(first, socket));
+                }
+            } catch (IOException e) {
+                // The test is over.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        if (client != null) {
+            loop.submit(client::close).get();
+        }
+        listening.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    }
+
+    private void watch(long silence, long answer) throws Exception {
+        client = new DiscoveryClient((roll, kind) -> {
+            heard.add(roll.revision());
+            if (roll.revision() == 8) {
+                still.run();
+            }
+        }, loop, NAMES,
+            listening.getLocalSocketAddress(), new DiscoveryClient.Spans(silence, answer, 20, 60_000));
+        loop.submit(() -> client.start(5)).get();
+    }
+
+    private Asked next(String after) throws Exception {
+        Asked next = asked.poll(60, TimeUnit.SECONDS);
+        assertNotNull(next, "no further watch");
+        assertTrue(next.first.endsWith("after=" + after + " HTTP/1.1"), next.first);
+        return next;
+    }
+
+    private static String list(int revision) {
+        String text = "{\n \"revision\": " + revision + ",\r\n\n \"complete\": false, \"members\": [\n]}\n";
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private void assertHeard(long revision) throws InterruptedException {
+        assertEquals(revision, heard.poll(60, TimeUnit.SECONDS));
+    }
+
+    /** A byte read late by a pause, the span, a second pause, one try in vain and the one that speaks: below 6 s. */
+    @Test
+    void aSilentWatchIsMadeUpForBeforeItCountsAsTold() {
+        DiscoveryClient.Spans spans = DiscoveryClient.Spans.USUAL;
+        long pause = 1_000, sum = pause + spans.silence() + pause + spans.settling() + spans.answer() + spans.settling();
+        assertTrue(sum <= 6_000 - 100, "the new watch may speak only after " + sum + " ms");
+        assertTrue(spans.silence() * 9 / 10 >= 2_000 + spans.answer(), "a line every 2 s is no silence");
+    }
+
+    @Test
+    void aWatchThatFellSilentIsBegunAnewAndItsLateLinesAreNothing() throws Exception {
+        watch(300, 60_000);
+        Asked old = next("5");
+        old.say(HEAD + list(8));
+        assertHeard(8);
+        Asked fresh = next("8");
+        try {
+            old.say(list(7) + list(9));
+        } catch (IOException e) {
+            // It was closed.
+        }
+        old.ended();
+        fresh.say(HEAD + list(10));
+        assertHeard(10);
+        assertTrue(heard.isEmpty(), heard.toString());
+    }
+
+    /** A head is no word. Of two watches an agent may tell only the newer one: kept beside it, the older heard nothing. */
+    @Test
+    void oneThatNeverSpeaksIsBegunAnewAndThereIsOnlyOne() throws Exception {
+        watch(60_000, 500);
+        Asked first = next("5");
+        first.say(HEAD);
+        Asked second = next("5");
+        first.ended();
+        Asked third = next("5");
+        second.ended();
+        third.say(HEAD + list(8));
+        assertHeard(8);
+        third.say(list(9));
+        assertHeard(9);
+        assertTrue(asked.isEmpty(), "one watch that speaks is enough");
+    }
+
+    @Test
+    void aPauseOfThisProcessIsNotTheSilenceOfAnother() throws Exception {
+        long silence = 400;
+        CountDownLatch stands = new CountDownLatch(1);
+        still = () -> {
+            // The claim is about time that passes between a read and the timers that are due behind it.
+            stands.countDown();
+            long until = System.nanoTime() + 2 * TimeUnit.MILLISECONDS.toNanos(silence);
+            for (long left = until - System.nanoTime(); left > 0; left = until - System.nanoTime()) {
+                LockSupport.parkNanos(left);
+            }
+        };
+        watch(silence, 60_000);
+        Asked first = next("5");
+        first.say(HEAD + list(8));
+        stands.await();
+        first.say(list(9));
+        assertHeard(8);
+        assertHeard(9);
+        assertTrue(asked.isEmpty(), "begun anew though it had spoken");
+    }
+
+    /** With the saved list's revision still the newest there is nothing to wait for. */
+    @Test
+    void anEmptyFirstLineSaysThatNothingHasChanged() throws Exception {
+        watch(60_000, 60_000);
+        Asked first = next("5");
+        assertFalse(client.heard());
+        first.say(HEAD + "1\r\n\n\r\n" + "1\r\n{\r\n");
+        while (!client.heard()) {
+            Thread.onSpinWait();
+        }
+        assertTrue(heard.isEmpty());
+    }
+
+    @Test
+    void whatIsNoListEndsTheWatchAndNothingElse() throws Exception {
+        watch(60_000, 60_000);
+        Asked bad = next("5");
+        bad.say(HEAD + list(8) + "2\r\nx\n\r\n" + list(9));
+        bad.ended();
+        assertHeard(8);
+        next("8").say(HEAD + list(10));
+        assertHeard(10);
+    }
+}
