--- a/src/main/java/rushpin/cli/Main.java
+++ b/src/main/java/rushpin/cli/Main.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import rushpin.config.Config;
 import rushpin.config.Operator;
@@ -82,10 +83,14 @@
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         try {
             Path path = Path.of(file);
-            AtomicReference<EdgeNode> serving = new AtomicReference<>();
+            AtomicReference<EdgeNode> serving = new AtomicReference<>(), started = new AtomicReference<>();
+            AtomicInteger hangups = new AtomicInteger();
             AtomicReference<Desk> desk = new AtomicReference<>();
             AtomicReference<Config> running = new AtomicReference<>();
-            onHangup(() -> reload(serving.get(), path, operator, desk.get(), running));
+            onHangup(() -> {
+                hangups.incrementAndGet();
+                reload(started.get(), path, operator, desk.get(), running);
+            });
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(serving.get()), "stop"));
             String folder = System.getenv().getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"));
             Config first = Config.read(path);
@@ -103,7 +108,8 @@
             int rehearsed = Rehearsal.hold(first, REHEARSED, REHEARSAL_MS, Path.of(folder));
             System.out.println("rehearsed with " + rehearsed + " requests in "
                 + (System.nanoTime() - begun) / 1_000_000 + " ms");
-            // The file is read again: a signal may have come meanwhile.
+            // The file is read again: a signal may have come meanwhile. One that comes from now on is heard at the end.
+            int before = hangups.get();
             Config config = Config.read(path);
             EdgeNode node = new EdgeNode(config, operator == null ? null : OperatorFile.read(operator, config),
                 desk.get());
@@ -111,6 +117,10 @@
             serving.set(node);
             node.start();
             System.out.println("serving on " + node.address());
+            started.set(node);
+            if (hangups.get() != before) {
+                reload(node, path, operator, desk.get(), running);
+            }
         } catch (Config.Invalid e) {
             exit(1, e.getMessage());
         } catch (Operator.Faulty e) {
@@ -132,7 +142,7 @@
     /** A file that cannot be used costs one line; the settings that the node has stay as they are. */
     private static void reload(EdgeNode node, Path file, Path operator, Desk desk, AtomicReference<Config> running) {
         if (node == null) {
-            // The file will be read when the node is made.
+            // It will be read when the node has started.
             return;
         }
         try {
--- a/src/main/java/rushpin/cli/RigCommand.java
+++ b/src/main/java/rushpin/cli/RigCommand.java
@@ -14,6 +14,9 @@
 @Command(name = "rig", mixinStandardHelpOptions = true,
     description = "Plays a scenario; without a name, lists them. Exit 0: holds, 1: falls short, 2: wrong words.")
 final class RigCommand implements Callable<Integer> {
+    /** A process takes some 150 MB. */
+    private static final int FLEET_MOST = 60;
+
     @Parameters(index = "0", arity = "0..1", paramLabel = "NAME", description = "The scenario.")
     private String name;
 
@@ -33,6 +36,10 @@
         description = "pools: how many times its quota the flooded pool is asked for (5).")
     private double flood;
 
+    @Option(names = "--size", paramLabel = "N", defaultValue = "0",
+        description = "cost: of [fleet], off and on, at 5, 20 and 60 processes up to N instead.")
+    private int size;
+
     static int run(String[] args) {
         return new CommandLine(new RigCommand()).execute(args);
     }
@@ -48,7 +55,11 @@
             System.err.println("there is no scenario " + name + "; rig alone lists them");
             return 2;
         }
-        Report report = scenario.play(new Scenario.Options(seed, isShort, other, flood));
+        if (size < 0 || size > FLEET_MOST) {
+            System.err.println("--size " + size + " is not among 0 to " + FLEET_MOST);
+            return 2;
+        }
+        Report report = scenario.play(new Scenario.Options(seed, isShort, other, flood, size));
         report.print(System.out);
         if (json != null) {
             report.write(json);
--- /dev/null
+++ b/src/main/java/rushpin/config/GroupKeys.java
@@ -0,0 +1,100 @@
+package rushpin.config;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The tables {@code [[fleet.group]]} of the operator's file. */
+final class GroupKeys {
+    private static final int MOST_GROUPS = 16, MOST_TENANTS = 63, MOST_PLANS = 64, MOST_CUSTOMERS = 64,
+        MOST = GroupPlan.MOST;
+    private static final long MS = 1_000_000L, HALF_OPEN_MS = 10_000, FORGET_MS = 60_000, LONGEST_MS = 30_000;
+    private static final String CUSTOMERS = "customers", PLANS = "plans";
+
+    private GroupKeys() {
+    }
+
+    static List<GroupPlan> read(Keys fleet, long leaseMs) {
+        List<GroupPlan> groups = new ArrayList<>();
+        Map<String, String> names = new HashMap<>();
+        for (Keys table : fleet.tables("group", MOST_GROUPS)) {
+            String name = FleetKeys.name(table, "name", true);
+            if (name != null && names.putIfAbsent(name, name) != null) {
+                table.fault("name", "group " + name + " stands there twice", "each name once");
+            }
+            int most = (int) table.whole("most-connections", 0, 1, MOST);
+            if (!table.has("most-connections")) {
+                table.fault("most-connections", "is missing", "a whole number from 1 to " + MOST);
+            }
+            int reserve = (int) table.whole("reserve", 1, 0, MOST);
+            if (most > 0 && reserve >= most) {
+                table.fault("reserve", "found " + reserve, "less than most-connections, " + most);
+            }
+            int own = (int) table.whole("own", 1, 0, MOST);
+            long forget = table.whole("forget-ms", Math.max(FORGET_MS, leaseMs), leaseMs, 3_600_000);
+            long longest = table.whole("longest-ms", LONGEST_MS, 1, 3_600_000);
+            // An idle connection is closed well before, by a look each second.
+            long halfOpen = table.whole("half-open-ms", HALF_OPEN_MS, 2_000, 3_600_000);
+            List<GroupPlan.Tenant> tenants = tenants(table);
+            long floors = tenants.stream().mapToLong(GroupPlan.Tenant::floor).sum();
+            if (most > 0 && floors > most - reserve) {
+                table.fault("tenant", "the floors add up to " + floors, "most-connections less reserve, "
+                    + (most - reserve) + ", at most");
+            }
+            table.done();
+            if (name != null) {
+                groups.add(new GroupPlan(name, most, reserve, own, forget * MS, longest * MS, halfOpen * MS, tenants));
+            }
+        }
+        return groups;
+    }
+
+    private static List<GroupPlan.Tenant> tenants(Keys group) {
+        List<GroupPlan.Tenant> tenants = new ArrayList<>();
+        Map<String, String> names = new HashMap<>(), plans = new HashMap<>();
+        Map<Long, String> customers = new HashMap<>();
+        for (Keys table : group.tables("tenant", MOST_TENANTS)) {
+            String name = FleetKeys.name(table, "name", true);
+            int floor = (int) table.whole("floor", 0, 0, MOST);
+            int weight = (int) table.whole("weight", 1, 1, 1_000);
+            int cap = (int) table.whole("cap", MOST, 1, MOST);
+            if (cap < floor) {
+                table.fault("cap", "found " + cap, "its floor, " + floor + ", at least");
+            }
+            List<String> named = table.texts(PLANS, MOST_PLANS);
+            List<Long> own = new ArrayList<>();
+            for (String customer : table.texts(CUSTOMERS, MOST_CUSTOMERS)) {
+                if (customer.matches("[0-9a-f]{16}") && Long.parseUnsignedLong(customer, 16) >= 0) {
+                    own.add(Long.parseUnsignedLong(customer, 16));
+                } else {
+                    table.fault(CUSTOMERS, "found \"" + customer + "\"", "16 digits of 0-9 and a-f, as the cookie has them");
+                }
+            }
+            if (!table.has(PLANS) && !table.has(CUSTOMERS) && name != null && !name.equals(GroupPlan.OTHERS)) {
+                named = List.of(name);
+            }
+            table.done();
+            if (name == null) {
+                continue;
+            }
+            if (names.putIfAbsent(name, name) != null) {
+                table.fault("name", "tenant " + name + " stands there twice", "each name once");
+            }
+            for (String plan : named) {
+                String other = plans.putIfAbsent(plan, name);
+                if (other != null) {
+                    table.fault(PLANS, "plan " + plan + " is tenant " + other + "'s too", "each plan once in a group");
+                }
+            }
+            for (Long customer : own) {
+                String other = customers.putIfAbsent(customer, name);
+                if (other != null) {
+                    table.fault(CUSTOMERS, "a customer is tenant " + other + "'s too", "each customer once in a group");
+                }
+            }
+            tenants.add(new GroupPlan.Tenant(name, floor, weight, cap, named, own));
+        }
+        return tenants;
+    }
+}
--- a/src/main/java/rushpin/config/Keys.java
+++ b/src/main/java/rushpin/config/Keys.java
@@ -53,6 +53,11 @@
             : value instanceof String text ? "\"" + text + "\"" : String.valueOf(value);
     }
 
+    /** Whether a text stands there. */
+    boolean isText(String key) {
+        return value(key) instanceof String;
+    }
+
     /** A text; null, with a fault if it must be there, where there is none. */
     String text(String key, boolean must) {
         Object value = value(key);
--- a/src/main/java/rushpin/config/Operator.java
+++ b/src/main/java/rushpin/config/Operator.java
@@ -14,9 +14,10 @@
  * @param pools the pools, each name once
  * @param routes which requests go to which of them, without ties
  * @param records where traffic is written down; null for nowhere
+ * @param fleet what this process shares with others; null for nothing
  */
 public record Operator(Listener listener, Path state, Grants total, List<PoolPlan> pools, List<Route> routes,
-                       Keeping records) {
+                       Keeping records, FleetPlan fleet) {
     /** Whose listening socket the process serves on. */
     public enum Listener {
         /** Its own, and nobody else's. */
--- a/src/main/java/rushpin/config/OperatorFile.java
+++ b/src/main/java/rushpin/config/OperatorFile.java
@@ -90,6 +90,7 @@
         String state = process.text("state", false);
         process.done();
         Keeping records = root.has("records") ? records(root.table("records")) : null;
+        FleetPlan fleet = root.has("fleet") ? FleetKeys.read(root.table("fleet"), folder, platform) : null;
         List<Keys> tables = root.tables("pool", MOST_POOLS);
         if (tables.isEmpty()) {
             root.fault("pool", "there is none", "one table [[pool]] for each service, " + MOST_POOLS + " at most");
@@ -105,6 +106,7 @@
         root.done();
         checkSums(process, total, plans);
         checkApart(plans);
+        checkGroups(plans, fleet);
         for (Map.Entry<String, Keys> pool : pools.entrySet()) {
             if (routes.stream().noneMatch(route -> route.pool().equals(pool.getKey()))) {
                 pool.getValue().fault("name", "no [[route]] leads to pool " + pool.getKey(), "one at least");
@@ -115,7 +117,7 @@
             throw new Operator.Faulty(faults);
         }
         return new Operator(listener, state == null ? null : folder.resolve(state), total, List.copyOf(plans),
-            List.copyOf(routes), records);
+            List.copyOf(routes), records, fleet);
     }
 
     /** Where traffic is written down; faults are told of a key that pseudonyms can't be made with. */
@@ -161,6 +163,7 @@
         }
         String host = pool.text("host", false);
         String loop = pool.word("loop", "shared", List.of("shared", "own"));
+        String group = pool.text("group", false);
         boolean first = pool.flag("count-first");
         boolean inXds = pool.has("xds");
         XdsPlan xds = inXds && name != null ? XdsKeys.read(pool.table("xds"), name, folder, platform) : null;
@@ -193,7 +196,7 @@
             config.settings().counter().largest(), config.names(), (space == null ? name : space) + ".",
             host);
         return new PoolPlan(name, upstream, first ? countingFirst(config.settings()) : config.settings(), seed(config, name),
-            config.known(), loop.equals("own"), part, xds);
+            config.known(), loop.equals("own"), part, xds, group);
     }
 
     private static Settings countingFirst(Settings of) {
@@ -367,6 +370,41 @@
         }
     }
 
+    /** A pool's group is one of the fleet's, no other pool's, and its tenants are told by plans that the pool knows. */
+    private void checkGroups(List<PoolPlan> plans, FleetPlan fleet) {
+        Map<String, String> taken = new HashMap<>();
+        for (PoolPlan plan : plans) {
+            Keys at = pools.get(plan.name());
+            GroupPlan group = fleet == null || plan.group() == null ? null : fleet.group(plan.group());
+            if (plan.group() == null) {
+                continue;
+            }
+            if (group == null) {
+                at.fault("group", "no [[fleet.group]] is called " + plan.group(), fleet == null || fleet.groups().isEmpty()
+                    ? "a table [[fleet.group]]" : String.join(", ", fleet.groups().stream().map(GroupPlan::name).toList()));
+                continue;
+            }
+            String other = taken.putIfAbsent(plan.group(), plan.name());
+            if (other != null) {
+                at.fault("group", "pool " + other + " has group " + plan.group() + " too", "each group in one pool");
+            }
+            List<String> known = plan.upstream().names().plans();
+            for (GroupPlan.Tenant tenant : group.tenants()) {
+                for (String of : tenant.plans()) {
+                    if (!known.contains(of)) {
+                        at.fault("group", "tenant " + tenant.name() + " of group " + group.name() + " names plan " + of
+                            + ", which the pool's settings don't", String.join(", ", known));
+                    }
+                }
+            }
+            long longest = plan.settings().classes().stream().mapToLong(one -> one.deadline()).max().orElse(0);
+            if (longest > group.longest()) {
+                at.fault("group", "a request may take " + longest / 1_000_000 + " ms and longest-ms of group " + group.name()
+                    + " is " + group.longest() / 1_000_000, "longest-ms no less than the longest deadline of the pool's classes");
+            }
+        }
+    }
+
     /** What two pools must not have in common. */
     private void checkApart(List<PoolPlan> plans) {
         Map<SocketAddress, String> servers = new HashMap<>();
--- a/src/main/java/rushpin/config/PoolPlan.java
+++ b/src/main/java/rushpin/config/PoolPlan.java
@@ -10,16 +10,17 @@
  * All that a pool is made from.
  *
  * @param name as the operator calls it; empty for the platform's one pool
+ * @param group the group of app servers that its own are, by the fleet's name for it; null for none
  * @param xds where its servers come from in place of discovery; null for none
  * @param ownLoop whether it has an event loop to itself
  * @param guaranteed what it may use whatever the others do; null for the platform's one pool, which has all
  */
 public record PoolPlan(String name, Upstream upstream, Settings settings, long seed, Roll known, boolean ownLoop,
-                       Grants guaranteed, XdsPlan xds) {
+                       Grants guaranteed, XdsPlan xds, String group) {
     /** A pool whose servers discovery tells. */
     public PoolPlan(String name, Upstream upstream, Settings settings, long seed, Roll known, boolean ownLoop,
                     Grants guaranteed) {
-        this(name, upstream, settings, seed, known, ownLoop, guaranteed, null);
+        this(name, upstream, settings, seed, known, ownLoop, guaranteed, null, null);
     }
 
     /** The platform's one pool. */
@@ -37,6 +38,7 @@
             && upstream.connectTimeout() == other.upstream.connectTimeout()
             && upstream.keepAlive() == other.upstream.keepAlive()
             && Objects.equals(xds, other.xds)
+            && Objects.equals(group, other.group)
             && Objects.equals(upstream.host(), other.upstream.host());
     }
 }
--- a/src/main/java/rushpin/node/EdgeNode.java
+++ b/src/main/java/rushpin/node/EdgeNode.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import rushpin.config.Config;
+import rushpin.config.FleetPlan;
 import rushpin.config.Operator;
 import rushpin.lifecycle.Lifecycle;
 import rushpin.net.ByteBudget;
@@ -37,6 +38,8 @@
     private final Lifecycle lifecycle;
     /** Where operators' calls end; null where there is no console. */
     private final Desk desk;
+    /** What is shared with other processes; null for nothing. */
+    private final Together together;
     private final CompletableFuture<Integer> drained = new CompletableFuture<>();
 
     /** A node with the platform's one pool; opens nothing yet. */
@@ -69,6 +72,12 @@
         // Who gives a node a console replaces its process while it serves.
         listener = operator != null ? operator.listener()
             : desk == null ? Operator.Listener.OWN : Operator.Listener.REUSEPORT;
+        together = operator == null || operator.fleet() == null ? null : new Together(operator.fleet(), services::agree,
+            services::permit);
+        if (together != null) {
+            services.account(together::has);
+            services.watch(together::saw);
+        }
         lifecycle = new Lifecycle(new Lifecycle.Bounds(DRAIN_GRACE, DRAIN_MOST), listener != Operator.Listener.OWN, this,
             now());
     }
@@ -76,6 +85,9 @@
     /** Begins to serve; returns when it listens. */
     public void start() throws Exception {
         services.start();
+        if (together != null) {
+            together.start();
+        }
         if (desk != null) {
             // Clients come at once beside another process: the list is heard first, or has been silent for long.
             for (long end = System.nanoTime() + HEAR; !services.ready() && System.nanoTime() - end < 0;) {
@@ -113,16 +125,29 @@
 
     /** Goes over to a new configuration of the platform, where there is no operator's file. */
     public void reload(Config changed) {
-        reload(changed, null);
+        services.reload(changed, null);
     }
 
     /** Goes over to new settings, read and checked whole. Clients and what they have asked stay. */
-    public void reload(Config changed, Operator operator) {
+    public void reload(Config changed, Operator operator) throws Operator.Faulty {
+        FleetPlan fleet = operator == null ? null : operator.fleet();
+        if (together != null && fleet != null) {
+            together.plan().checkNext(fleet);
+        }
         services.reload(changed, operator);
+        if (together != null && fleet != null) {
+            together.change(fleet);
+        } else if (together != null || fleet != null) {
+            System.out.println("whether there is a table [fleet] is for the next start");
+        }
     }
 
-    /** Answers all that was taken; completes at the end of that with how many connections were cut. */
+    /**
+     * Answers all that was taken; completes at the end of that with how many connections were cut. Others of its fleet hear
+     * meanwhile that this process ends.
+     */
     public CompletableFuture<Integer> drain() {
+        CompletableFuture<Void> left = together == null ? CompletableFuture.completedFuture(null) : together.leave();
         loop.execute(() -> {
             if (desk != null && listener == Operator.Listener.REUSEPORT) {
                 // Alone, it goes on taking those who still come for a moment; else they are the other process's.
@@ -130,7 +155,7 @@
             }
             lifecycle.terminate(now(), clients.open());
         });
-        return drained;
+        return drained.thenCombine(left, (cut, none) -> cut);
     }
 
     /** Whether it takes clients now; completes on the loop that knows. */
@@ -171,6 +196,9 @@
 
     @Override
     public void close() {
+        if (together != null) {
+            together.close();
+        }
         services.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
         if (desk != null) {
--- a/src/main/java/rushpin/node/Pool.java
+++ b/src/main/java/rushpin/node/Pool.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +14,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import rushpin.accord.Plan;
+import rushpin.config.GroupPlan;
 import rushpin.config.PoolPlan;
 import rushpin.console.Beside;
 import rushpin.console.Counts;
@@ -58,6 +61,8 @@
     private static final long DESK = 200 * MS;
     /** A drain binds 1 s after it was told: whoever stood still for nearly so long has to hear of it first. */
     private static final long STALL = 700 * MS;
+    /** How often a request that came before the first list is looked at again; discovery's patience bounds it. */
+    private static final long HELD = 5 * MS;
     /** What came during a stall is read in a pass or two of the loop. */
     private static final long SETTLING = 20 * MS;
 
@@ -99,6 +104,14 @@
     private Tellings tellings;
     /** Follows requests for the records; null for none. */
     private Tap tap;
+    /** Counts what is seen of zones; null where there is no fleet. */
+    private Witness witness;
+    /** What the fleet says, null for nothing yet; whether the local rule is in its place; the last look at it. */
+    private Standing standing;
+    private boolean local;
+    private int looks;
+    /** In which the list has had servers, by index. */
+    private final BitSet zones = new BitSet();
 
     /** Opens nothing yet; {@code claims} is null where the list is nobody else's concern. */
     Pool(PoolPlan plan, EventLoop loop, Clock clock, Budgets budgets, DiscoveryClient.Listener claims) {
@@ -127,6 +140,17 @@
         tap = with;
     }
 
+    /** Has what is open at its servers kept to the permits for a group of them; before the start. */
+    GroupSide keepTo(GroupPlan group, Consumer<GroupSide.Account> accounts) {
+        return new GroupSide(group, names.plans(), servers, loop, accounts);
+    }
+
+    /** Has what it sees of zones counted; before the start. */
+    void witness(Witness with) {
+        witness = with;
+        witness.begin(loop, server -> gateway != null && gateway.holdsOut(server));
+    }
+
     /** What a class is called in the figures: where there are several pools, behind its pool. */
     private String figure(String className) {
         return plan.name().isEmpty() ? className : plan.name() + "." + className;
@@ -302,6 +326,41 @@
             gateway.restore(now, b.customer(), b.plan() & 0xff, b.plan() >> 8, b.units())));
     }
 
+    /** A plan of the fleet is in force, or is stale: taken as a whole, and never given up for an older one. */
+    void agree(Standing now) {
+        if (closed || standing != null && standing.plan().isNewerThan(now.plan())) {
+            return;
+        }
+        boolean newer = standing == null || now.plan().isNewerThan(standing.plan());
+        standing = now;
+        goBy();
+        if (newer) {
+            Plan taken = now.plan();
+            System.out.println("fleet plan pool=" + plan.name() + " number=" + taken.number() + " fence=" + taken.fence()
+                + " at=" + System.nanoTime());
+        }
+    }
+
+    /** Tells the module the ways in force; while the plan is stale they change by themselves, with each lease. */
+    private void goBy() {
+        long now = System.nanoTime();
+        int[][] parts = standing.parts(now, plan.name(), names, zones, zone -> gateway.fails(names.zones().indexOf(zone)));
+        int[][] spare = standing.spare(now, plan.name(), names, zones);
+        event(null, at -> gateway.zones(at, parts, spare));
+        if (local != standing.isLocal(now)) {
+            local = !local;
+            System.out.println("fleet rule pool=" + plan.name() + " rule=" + (local ? "local" : "plan") + " at=" + now);
+        }
+        int mine = ++looks;
+        if (standing.stale()) {
+            loop.schedule(() -> {
+                if (mine == looks && !closed) {
+                    goBy();
+                }
+            }, standing.next(now), TimeUnit.NANOSECONDS);
+        }
+    }
+
     /** Goes over to other addresses; requests, attempts, the module and its list stay as they are. */
     void move(PoolPlan changed) {
         if (discovery != null) {
@@ -360,9 +419,15 @@
         if (desk != null) {
             classes.forEach(name -> desk.counts().of(figure(name)));
         }
+        if (witness != null) {
+            witness.classes(classes, specs);
+        }
         log("classes are now " + String.join(", ", classes) + "; attempts at most " + to.limits().maxAttempts());
         Settings now = settings;
         event(null, at -> gateway.settings(at, now, was));
+        if (standing != null) {
+            goBy();
+        }
     }
 
     /**
@@ -371,6 +436,9 @@
      */
     void retire(Runnable then) {
         ended = then;
+        if (witness != null) {
+            witness.retire();
+        }
         endIfDone();
     }
 
@@ -393,6 +461,9 @@
             counter.close();
             servers.close();
             budgets.close();
+            if (witness != null) {
+                witness.end();
+            }
             if (use != null) {
                 adoption.cancel(false);
                 use.close();
@@ -493,6 +564,14 @@
     private void tell(Roll roll, ListKind kind) {
         List<Server> told = servers.update(roll, kind != ListKind.DELTA);
         event(null, now -> gateway.list(now, kind, told));
+        if (witness != null) {
+            witness.listed(told, kind != ListKind.DELTA);
+            int known = zones.cardinality();
+            told.stream().mapToInt(Server::zone).filter(zone -> zone >= 0).forEach(zones::set);
+            if (standing != null && zones.cardinality() > known) {
+                goBy();
+            }
+        }
     }
 
     /** The machines' clock may be set while the node runs. */
@@ -510,6 +589,9 @@
         if (desk != null) {
             desk.counts().open(1);
         }
+        if (witness != null) {
+            witness.entered(taken.className());
+        }
         if (closed || mostOpen > 0 && open.size() >= mostOpen || dropped > 0 && drops() || !budgets.take(taken)) {
             // Nothing was sent for it, and its pool is full or has just gone: to come again is harmless.
             answer(taken, Counts.OfClass::refused).refused(Budgets.COME_BACK);
@@ -533,7 +615,16 @@
         long left = lastMoment(taken) - now();
         // The backstop for a module that is late: no request may be left without an answer.
         taken.backstop(loop.schedule(() -> overdue(taken), Math.max(0, left), TimeUnit.NANOSECONDS));
-        event(taken, now -> gateway.request(now, taken.request()));
+        enter(taken);
+    }
+
+    /** What the agent holds counts as told from the first moment: nothing is decided by the saved list before it spoke. */
+    private void enter(OpenRequest taken) {
+        if (discovery == null || discovery.heard()) {
+            event(taken, now -> gateway.request(now, taken.request()));
+        } else if (!taken.isAnswered()) {
+            loop.schedule(() -> enter(taken), HELD, TimeUnit.NANOSECONDS);
+        }
     }
 
     private static long lastMoment(OpenRequest of) {
@@ -559,7 +650,7 @@
     @Override
     public void attemptEnded(OpenRequest of, Outcome outcome, long took, String server, double units, ByteBuf body) {
         of.attemptEnds();
-        noteAttempt(of, outcome, units);
+        noteAttempt(of, outcome, took, server, units);
         int attempt = of.attempts() - 1;
         // After a stall answers are read before the backstop has its turn: what comes too late was not served.
         if (outcome == Outcome.OK && now() > lastMoment(of)) {
@@ -599,7 +690,7 @@
     @Override
     public void answerBegins(OpenRequest of, long took, String server, double units, Passage passage, long length) {
         of.attemptEnds();
-        noteAttempt(of, Outcome.OK, units);
+        noteAttempt(of, Outcome.OK, took, server, units);
         int attempt = of.attempts() - 1;
         if (now() > lastMoment(of)) {
             fail(of);
@@ -636,7 +727,10 @@
         }
     }
 
-    private void noteAttempt(OpenRequest of, Outcome outcome, double units) {
+    private void noteAttempt(OpenRequest of, Outcome outcome, long took, String server, double units) {
+        if (witness != null) {
+            witness.ended(of.className(), server, outcome, took);
+        }
         if (tap != null) {
             tap.attemptEnded(of, outcome, units, now());
         }
--- a/src/main/java/rushpin/node/PooledServices.java
+++ b/src/main/java/rushpin/node/PooledServices.java
@@ -17,10 +17,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import rushpin.budget.Lender;
 import rushpin.budget.Share;
 import rushpin.config.Config;
 import rushpin.config.Grants;
+import rushpin.config.GroupPlan;
 import rushpin.config.Operator;
 import rushpin.config.PoolPlan;
 import rushpin.gateway.Ports.ListKind;
@@ -40,7 +42,7 @@
     private static final long SWEEP_S = 1;
 
     /** A pool that runs; the key at the lenders and claims differs between two of one name that meet in a reload. */
-    private record Running(Pool pool, String key, EventLoopGroup own, Budgets budgets) {
+    private record Running(Pool pool, String key, EventLoopGroup own, Budgets budgets, GroupSide side) {
     }
 
     private enum Kind { REQUESTS, CONNECTIONS, BYTES, CONNECTS }
@@ -62,6 +64,14 @@
     private Recorder recorder;
     private Operator operator;
     private RouteTable table;
+    /** The newest of the fleet; null for none. */
+    private Standing agreed;
+    /** Hears what pools see; null where there is no fleet. */
+    private Consumer<Witness.Account> watcher;
+    /** Hears what pools have open to groups of servers; null where there is no fleet. */
+    private Consumer<GroupSide.Account> accounts;
+    /** The newest permit for each group. */
+    private final Map<String, GroupSide.Numbered> permits = new HashMap<>();
     private int generation;
 
     /** Opens nothing yet; {@code ended} hears on the listening side's loop of each name that no pool has any more. */
@@ -114,6 +124,10 @@
                 before.remove(plan.name());
                 running.put(plan.name(), known);
                 known.pool().loop().execute(() -> known.pool().move(plan));
+                if (known.side() != null) {
+                    GroupPlan group = next.fleet().group(plan.group());
+                    known.pool().loop().execute(() -> known.side().change(group));
+                }
                 reserve(known, plan);
             } else {
                 fresh.add(plan);
@@ -142,7 +156,15 @@
             // Each pool has the whole rate: what all of them offer beyond it finds the queue full.
             pool.record(new Tap(recorder, node, plan.name(), recorder.mostPerSecond(), System.currentTimeMillis(), clock.now()));
         }
-        Running begun = new Running(pool, key, own, budgets);
+        if (watcher != null) {
+            pool.witness(new Witness(plan.name(), plan.upstream().names(), plan.settings(), clock::now, watcher));
+        }
+        GroupPlan group = plan.group() == null ? null : operator.fleet().group(plan.group());
+        if (group != null && accounts == null) {
+            System.out.println("pool " + plan.name() + " keeps to no permits: a table [fleet] is for the next start");
+        }
+        GroupSide side = group == null || accounts == null ? null : pool.keepTo(group, accounts);
+        Running begun = new Running(pool, key, own, budgets, side);
         running.put(plan.name(), begun);
         byKey.put(key, begun);
         reserve(begun, plan);
@@ -152,7 +174,43 @@
         Claims.Outcome first = claims.admit(key, plan.known(), ListKind.CACHED);
         first.conflicts().forEach(System.out::println);
         loop.execute(() -> pool.start(first.told().get(0).roll(), state, node));
+        if (agreed != null) {
+            Standing known = agreed;
+            loop.execute(() -> pool.agree(known));
+        }
         tell(first.told().subList(1, first.told().size()));
+        permit(begun);
+    }
+
+    /** A pool's permit, unless another pool may have connections to its group yet. */
+    private void permit(Running to) {
+        GroupSide.Numbered permit = to.side() == null ? null : permits.get(to.pool().plan().group());
+        if (permit != null && retiring.stream().noneMatch(old -> old.side() != null
+            && old.pool().plan().group().equals(permit.group()))) {
+            to.pool().loop().execute(() -> to.side().permit(permit));
+        }
+    }
+
+    @Override
+    public void account(Consumer<GroupSide.Account> by) {
+        accounts = by;
+    }
+
+    @Override
+    public void permit(GroupSide.Numbered permit) {
+        front.execute(() -> {
+            permits.put(permit.group(), permit);
+            running.values().stream().filter(each -> permit.group().equals(each.pool().plan().group())).forEach(this::permit);
+            leftAlone(permit);
+        });
+    }
+
+    /** A permit that no pool goes by any more: somebody has to say that nothing is open, or what was granted stays so. */
+    private void leftAlone(GroupSide.Numbered permit) {
+        if (Stream.concat(running.values().stream(), retiring.stream())
+            .noneMatch(each -> each.side() != null && permit.group().equals(each.pool().plan().group()))) {
+            accounts.accept(new GroupSide.Account(permit.group(), permit.number(), 0, Map.of()));
+        }
     }
 
     /** The way from a pool's loop to a lender. */
@@ -199,11 +257,23 @@
         retiring.add(old);
         // It sends no more than repeats of what it has: its servers are free for who comes after it.
         tell(claims.leave(old.key()));
-        old.pool().loop().execute(() -> old.pool().retire(() -> front.execute(() -> gone(old))));
+        old.pool().loop().execute(() -> {
+            if (old.side() != null) {
+                // The next pool of its group begins when nothing of this one is open there any more.
+                old.side().close();
+            }
+            old.pool().retire(() -> {
+                if (old.side() == null) {
+                    front.execute(() -> gone(old));
+                } else {
+                    old.side().onEmpty(() -> front.execute(() -> gone(old)));
+                }
+            });
+        });
     }
 
     private void gone(Running old) {
-        retiring.remove(old);
+        retiring.removeIf(each -> each == old);
         byKey.remove(old.key());
         for (Lender lender : lenders) {
             lender.leave(old.key());
@@ -218,6 +288,8 @@
             old.own().shutdownGracefully(0, 1, TimeUnit.SECONDS);
         }
         System.out.println("pool " + old.pool().name() + " has ended");
+        running.values().forEach(this::permit);
+        permits.values().forEach(this::leftAlone);
     }
 
     private void admit(String key, Roll roll, ListKind kind) {
@@ -225,7 +297,7 @@
         if (of == null) {
             return;
         }
-        if (retiring.contains(of)) {
+        if (retiring.stream().anyMatch(each -> each == of)) {
             of.pool().loop().execute(() -> of.pool().apply(roll, kind));
         } else {
             Claims.Outcome outcome = claims.admit(key, roll, kind);
@@ -285,6 +357,22 @@
         }, front).thenCompose(any -> any);
     }
 
+    @Override
+    public void watch(Consumer<Witness.Account> by) {
+        watcher = by;
+    }
+
+    /** A pool that is retiring goes by the plan it has to its end. */
+    @Override
+    public void agree(Standing standing) {
+        front.execute(() -> {
+            if (agreed == null || !agreed.plan().isNewerThan(standing.plan())) {
+                agreed = standing;
+                running.values().forEach(each -> each.pool().loop().execute(() -> each.pool().agree(standing)));
+            }
+        });
+    }
+
     /** Pools with a loop of their own have given what they could when the other process was first seen. */
     @Override
     public void leave() {
--- a/src/main/java/rushpin/node/Services.java
+++ b/src/main/java/rushpin/node/Services.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import rushpin.config.Config;
 import rushpin.config.Operator;
 import rushpin.net.Front;
@@ -27,6 +28,26 @@
      */
     CompletableFuture<Boolean> withhold(String id, boolean out);
 
+    /** A plan of the fleet is in force, or may be no more; called on any thread, and told to each pool as one message. */
+    default void agree(Standing standing) {
+        // Only where there are zones to divide.
+    }
+
+    /** Has what its pools see of zones told, on any thread; before the start. */
+    default void watch(Consumer<Witness.Account> by) {
+        // Only where there are zones to divide.
+    }
+
+    /** Has what its pools have open to groups of servers told, on any thread; before the start. */
+    default void account(Consumer<GroupSide.Account> by) {
+        // Only where there are groups.
+    }
+
+    /** What may be open to a group; called on any thread, and told to its pool as one message. */
+    default void permit(GroupSide.Numbered permit) {
+        // Only where there are groups.
+    }
+
     /** The process ends with all answered: what it holds may be another process's; on the listening side's loop. */
     default void leave() {
         // Only where processes act as one node.
--- a/src/main/java/rushpin/rig/DemoScenario.java
+++ b/src/main/java/rushpin/rig/DemoScenario.java
@@ -80,11 +80,11 @@
                 failing.fault(Faults.Kind.FAIL_FAST);
                 news = "lookups' " + failing.id + " now fails fast";
             } else if (second == seconds / 2) {
-                yard.discovery("bookings").set(draining.id, draining.address(), "Terminating", 0);
+                yard.discovery("bookings").set(draining, "Terminating", 0);
                 news = "bookings' " + draining.id + " now drains";
             } else if (second == seconds * 2 / 3) {
                 failing.fault(null);
-                yard.discovery("bookings").set(draining.id, draining.address(), "Ready", 0);
+                yard.discovery("bookings").set(draining, "Ready", 0);
                 news = "both are well again";
             }
             Thread.sleep(1_000);
--- a/src/main/java/rushpin/rig/FleetScenario.java
+++ b/src/main/java/rushpin/rig/FleetScenario.java
@@ -155,7 +155,7 @@
             // A server starts anew while a quarter of the nodes do: nobody may push it over, and each learns of it at once.
             AppServer cold = yard.servers(POOL).get(0);
             cold.restart();
-            yard.discovery(POOL).set(cold.id, cold.address(), "Ready", System.currentTimeMillis());
+            yard.discovery(POOL).set(cold, "Ready", System.currentTimeMillis());
             // A quarter at once.
             all.all(order.subList(half, half + Math.max(1, fleet.size() / 4)), node -> restart(node, front));
         }
@@ -174,10 +174,10 @@
             Future<?> freezing = all.begin(still, node -> node.freeze(5_000));
             front.died(still);
             Thread.sleep(500);
-            yard.discovery(POOL).set(drained.id, drained.address(), "Terminating", 0);
+            yard.discovery(POOL).set(drained, "Terminating", 0);
             freezing.get(30, TimeUnit.SECONDS);
             Thread.sleep(1_500);
-            yard.discovery(POOL).set(drained.id, drained.address(), "Ready", 0);
+            yard.discovery(POOL).set(drained, "Ready", 0);
             report.claim(way + ": a node whose settings went bad goes on", odd.isHealthy());
             Files.writeString(odd.config(), good);
             odd.signal("HUP");
--- a/src/main/java/rushpin/rig/HerdScenario.java
+++ b/src/main/java/rushpin/rig/HerdScenario.java
@@ -110,10 +110,10 @@
             List<AppServer> servers = yard.servers(POOL);
             servers.get(SERVERS - 1).fault(Faults.Kind.FAIL_FAST);
             for (AppServer server : servers.subList(0, SERVERS / 2)) {
-                yard.discovery(POOL).set(server.id, server.address(), "Terminating", 0);
+                yard.discovery(POOL).set(server, "Terminating", 0);
                 Thread.sleep(options.isShort() ? 1_200 : 3_000);
                 server.restart();
-                yard.discovery(POOL).set(server.id, server.address(), "Ready", System.currentTimeMillis());
+                yard.discovery(POOL).set(server, "Ready", System.currentTimeMillis());
             }
             servers.get(SERVERS - 1).fault(null);
         }
--- a/src/main/java/rushpin/rig/NodeProcess.java
+++ b/src/main/java/rushpin/rig/NodeProcess.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** A program of this repository as a real process: an edge node, or what it is compared with. */
 final class NodeProcess implements AutoCloseable {
@@ -42,8 +43,15 @@
     private volatile int console;
     private final long startedAt = System.nanoTime();
     private long readyAfter;
+    private final Consumer<String> heard;
 
     private NodeProcess(String classPath, List<String> command, Path folder, Path config) throws IOException {
+        this(classPath, command, folder, config, line -> { });
+    }
+
+    private NodeProcess(String classPath, List<String> command, Path folder, Path config, Consumer<String> heard)
+        throws IOException {
+        this.heard = heard;
         List<String> all = new ArrayList<>();
         all.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         all.addAll(OPTIONS);
@@ -71,6 +79,15 @@
         return started(new NodeProcess(System.getProperty("java.class.path"), command, folder, config));
     }
 
+    /**
+     * The same, which tells each line that it says, on a thread of its own and in order; its heap is nearly full while {@code ballast} is
+     * there.
+     */
+    static NodeProcess serve(Path folder, Path config, Path operator, Path ballast, Consumer<String> heard) throws Exception {
+        return started(new NodeProcess(System.getProperty("java.class.path"), Ballast.words(ballast,
+            List.of("rushpin.cli.Main", "serve", "--operator", operator.toString())), folder, config, heard));
+    }
+
     /** Starts the edge node of another jar. */
     static NodeProcess serveOf(Path jar, Path folder, Path config) throws Exception {
         NodeProcess made = new NodeProcess(jar.toString(), List.of("-jar", jar.toString(), "serve"), folder, config);
@@ -98,6 +115,7 @@
         try (BufferedReader lines = new BufferedReader(
             new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
             for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                heard.accept(line);
                 synchronized (said) {
                     said.add(line);
                     if (said.size() > KEPT_LINES) {
@@ -157,9 +175,44 @@
 
     /** Resident memory in KiB; 0 where the system does not tell. */
     long resident() {
+        return status("VmRSS:");
+    }
+
+    /** Its threads; 0 where the system does not tell. */
+    long threads() {
+        return status("Threads:");
+    }
+
+    /** KiB of its heap in use, after a full collection; 0 where the JVM's own command is not there. */
+    long heap() throws Exception {
+        jcmd("GC.run");
+        long used = 0;
+        // As the serial collector tells it: "tenured generation   total 32768K, used 9174K [...".
+        for (String line : jcmd("GC.heap_info").split("\n")) {
+            int at = line.indexOf("K, used ");
+            if (line.contains(" generation ") && at > 0) {
+                used += Long.parseLong(line.substring(at + 8, line.indexOf('K', at + 8)));
+            }
+        }
+        return used;
+    }
+
+    private String jcmd(String command) throws Exception {
+        Path program = Path.of(System.getProperty("java.home"), "bin", "jcmd");
+        if (!Files.exists(program)) {
+            return "";
+        }
+        Process asked = new ProcessBuilder(program.toString(), Long.toString(pid()), command).redirectErrorStream(true)
+            .start();
+        String said = new String(asked.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        asked.waitFor();
+        return said;
+    }
+
+    private long status(String key) {
         try {
             for (String line : Files.readAllLines(Path.of("/proc", Long.toString(pid()), "status"))) {
-                if (line.startsWith("VmRSS:")) {
+                if (line.startsWith(key)) {
                     return Long.parseLong(line.replaceAll("[^0-9]", ""));
                 }
             }
@@ -174,12 +227,26 @@
         new ProcessBuilder("kill", "-" + name, Long.toString(pid())).start().waitFor();
     }
 
+    /** The size in bytes beyond which it can write no file, or {@code unlimited}: what stands for a full disk. */
+    void room(String bytes) throws Exception {
+        if (new ProcessBuilder("prlimit", "--pid", Long.toString(pid()), "--fsize=" + bytes + ":unlimited").start()
+            .waitFor() != 0) {
+            throw new IOException("a process could not be given a limit");
+        }
+    }
+
     /** Ends it the planned way; its exit status. */
     int stop() throws InterruptedException {
         process.destroy();
         return process.waitFor(30, TimeUnit.SECONDS) ? process.exitValue() : -1;
     }
 
+    /** Kills it outright; returns when it has ended. */
+    void kill() throws Exception {
+        process.destroyForcibly();
+        process.onExit().get(READY_S, TimeUnit.SECONDS);
+    }
+
     @Override
     public void close() {
         process.destroyForcibly();
--- a/src/main/java/rushpin/rig/PoolsScenario.java
+++ b/src/main/java/rushpin/rig/PoolsScenario.java
@@ -94,11 +94,15 @@
                 server.refuse();
             }
             Thread.sleep(stretchMs / 3);
+            // What is out still must not meet the servers that are to hang: it would wait out its time as one of this stretch.
+            broken.rate(0);
+            broken.settle();
             Load.Stretch second = broken.turn();
             for (AppServer server : yard.servers("broken")) {
                 server.fault(Faults.Kind.STALL);
                 server.open();
             }
+            broken.rate(BROKEN_RATE);
             Thread.sleep(stretchMs / 3);
             Load.Stretch two = steady.turn();
             loadedCpu += node.cpu() - cpu;
--- a/src/main/java/rushpin/rig/ReplaceScenario.java
+++ b/src/main/java/rushpin/rig/ReplaceScenario.java
@@ -127,7 +127,7 @@
                     applied += broken ? 0 : 1;
                     rejected += broken ? 1 : 0;
                     out.restart();
-                    discovery.set(out.id, out.address(), "Ready", System.currentTimeMillis());
+                    discovery.set(out, "Ready", System.currentTimeMillis());
                     Running next = start(yard, json, i);
                     readyMost = Math.max(readyMost, next.process.readyAfter());
                     boolean ready = call(next.console, "READY").equals("done\n");
--- a/src/main/java/rushpin/rig/Rig.java
+++ b/src/main/java/rushpin/rig/Rig.java
@@ -6,7 +6,7 @@
 public final class Rig {
     private static final List<Scenario> ALL = List.of(new DemoScenario(), new PoolsScenario(), new FleetScenario(),
         new CostScenario(), new UseScenario(), new XdsScenario(), new ReplaceScenario(),
-        new ModelScenario(), new HerdScenario());
+        new ModelScenario(), new HerdScenario(), new AccordScenario(), new ZonesScenario(), new BudgetsScenario());
 
     private Rig() {
     }
--- a/src/main/java/rushpin/rig/StandIn.java
+++ b/src/main/java/rushpin/rig/StandIn.java
@@ -57,6 +57,10 @@
         connections.forEach(Channel::close);
     }
 
+    final InetSocketAddress socket() {
+        return address;
+    }
+
     final String address() {
         return "127.0.0.1:" + address.getPort();
     }
--- a/src/main/java/rushpin/rig/XdsScenario.java
+++ b/src/main/java/rushpin/rig/XdsScenario.java
@@ -231,13 +231,15 @@
 
         /** Says the world, and writes down what the node was told by it and when. */
         private void tell() {
+            // Who hears that a server is back may send at once, before this thread goes on.
+            long begun = System.nanoTime();
             management.set(POOL, assignment(endpoints()));
             long now = System.nanoTime();
             world.forEach((id, health) -> {
                 if (health != HealthStatus.HEALTHY) {
                     toldAt.putIfAbsent(id, now);
                 } else if (toldAt.containsKey(id)) {
-                    records.add(new Records.Told(POOL, id, toldAt.remove(id), now));
+                    records.add(new Records.Told(POOL, id, toldAt.remove(id), begun));
                 }
             });
         }
--- a/src/test/java/rushpin/config/OperatorFileTest.java
+++ b/src/test/java/rushpin/config/OperatorFileTest.java
@@ -13,9 +13,11 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import rushpin.membership.xds.Form;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import rushpin.failover.Geography;
+import rushpin.failover.Limits;
+import rushpin.membership.xds.Form;
 
 /** The operator's file: good, or all that is wrong with it at once. */
 class OperatorFileTest {
@@ -212,4 +214,162 @@
         only(records + "most-bytes = 1000000\nfile-bytes = 500000\n" + POOLS, "records.most-bytes", "1500000");
         only(records + "keep-days = 3\n" + POOLS, "records.keep-days", "is no key here");
     }
+
+    private static String fleet(String keys, int voters) {
+        StringBuilder text = new StringBuilder("[fleet]\n").append(keys);
+        for (int i = 0; i < voters; i++) {
+            text.append("[[fleet.voter]]\nname = \"n").append(i).append("\"\naddress = \"127.0.0.1:").append(7_000 + i)
+                .append("\"\n");
+        }
+        return text + POOLS;
+    }
+
+    @Test
+    void aFleetHasDefaultsAndVotersHaveAPlaceOfTheirOwn() throws Exception {
+        assertNull(OperatorFile.parse(POOLS, folder, null).fleet());
+        String own = "name = \"n0\"\nzone = \"a\"\nlisten = \"127.0.0.1:7000\"\nstate = \"s\"\n";
+        FleetPlan voter = OperatorFile.parse(fleet(own, 3), folder, null).fleet();
+        assertTrue(voter.votes());
+        assertEquals(List.of("n0", "n1", "n2"), List.copyOf(voter.addresses().keySet()));
+        assertEquals(folder.resolve("s"), voter.state());
+        FleetPlan other = OperatorFile.parse(fleet("name = \"n9\"\nzone = \"a\"\n", 5), folder, null).fleet();
+        assertFalse(other.votes());
+        assertEquals(new FleetPlan("n9", "a", "local", 1, null, null, 3_000_000_000L, 1_000_000_000L, 10_000, other.voters(),
+            new Geography(List.of()), Limits.USUAL, List.of()), other);
+    }
+
+    @Test
+    void aGroupHasAPoolAndTenantsThatFit() throws Exception {
+        String group = "[[fleet.group]]\nname = \"book\"\nmost-connections = 10\n";
+        String tenant = "[[fleet.group.tenant]]\nname = \"big\"\nfloor = 9\nweight = 2\nplans = [\"bulk\"]\n";
+        String own = "name = \"n9\"\nzone = \"a\"\n";
+        String pooled = fleet(own + group + tenant, 3).replace("name = \"a\"\nsettings", "name = \"a\"\ngroup = \"book\"\nsettings");
+        GroupPlan read = OperatorFile.parse(pooled, folder, null).fleet().group("book");
+        assertEquals(new GroupPlan("book", 10, 1, 1, 60_000_000_000L, 30_000_000_000L, 10_000_000_000L,
+            List.of(new GroupPlan.Tenant("big", 9, 2, GroupPlan.MOST, List.of("bulk"), List.of()))), read);
+        only(pooled.replace("floor = 9", "floor = 10"), "fleet.group[1].tenant", "the floors add up to 10", "9, at most");
+        only(pooled.replace("\"bulk\"]", "\"bluk\"]"), "pool[1].group", "tenant big of group book names plan bluk");
+        only(pooled.replace("most-connections = 10\n", ""), "most-connections", "is missing");
+        only(pooled.replace("group = \"book\"", "group = \"look\""), "pool[1].group", "no [[fleet.group]] is called look");
+        only(pooled.replace("weight = 2", "longest = 2"), "longest", "is no key here");
+        only(pooled.replace("most-connections = 10", "most-connections = 10\nlongest-ms = 29000"), "pool[1].group",
+            "a request may take 30000 ms");
+    }
+
+    private static final String REGIONS = """
+        [[fleet.region]]
+        name = "east"
+        zones = ["b", "a"]
+        [[fleet.region]]
+        name = "west"
+        zones = ["c"]
+        """;
+
+    @Test
+    void regionsAreListedInOrderAndTheProcessesOwnFollows() throws Exception {
+        String zones = "[fleet.zones]\nreserve-percent = 20\nmost-left-percent = 50\nhold-s = 60\nstep-s = 1\n";
+        FleetPlan plan = OperatorFile.parse(fleet("name = \"n9\"\nzone = \"a\"\n" + REGIONS + zones, 3), folder, null).fleet();
+        assertEquals("east", plan.region());
+        assertEquals(List.of("b", "a", "c"), plan.geography().zones());
+        assertEquals(List.of(500, 200, 60_000_000_000L, 1_000_000_000L),
+            List.of(plan.limits().left(), plan.limits().reserve(), plan.limits().hold(), plan.limits().step()));
+        // They are the planner's at once; all else of the file is for the next start.
+        FleetPlan old = OperatorFile.parse(fleet("name = \"n9\"\nzone = \"c\"\nregion = \"north\"\n", 3), folder, null).fleet();
+        FleetPlan taken = old.taking(plan);
+        assertEquals(plan.geography(), taken.geography());
+        assertEquals(plan.limits(), taken.limits());
+        assertEquals("c north", taken.zone() + " " + taken.region());
+        assertEquals(List.of("fleet.zone", "fleet.region"), old.forNextStart(plan));
+    }
+
+    @Test
+    void allFaultsOfRegionsAndZonesComeAtOnce() {
+        only(fleet("name = \"n9\"\nzone = \"d\"\n" + REGIONS, 3), "line 3: fleet.zone: found \"d\", which no region lists",
+            "one of b, a, c");
+        List<String> found = faults(fleet("name = \"n9\"\nzone = \"a\"\n" + REGIONS + """
+            [[fleet.region]]
+            name = "west"
+            zones = ["d", "a", "e/f"]
+            [[fleet.region]]
+            names = "south"
+            [fleet.zones]
+            reserve-percent = 95
+            most-left-percent = 0
+            hold-s = "10"
+            step = 3
+            """, 3));
+        String all = String.join("\n", found);
+        for (String part : List.of("fleet.region[3].name: region west stands there twice; allowed: each name once",
+            "fleet.region[3].zones: zone a stands in region east too; allowed: each zone once over all regions",
+            "fleet.region[3].zones: found \"e/f\"; allowed: up to 64 of", "fleet.region[4].name: is missing",
+            "fleet.region[4].zones: is missing; allowed: a list of 1 to 64 zones, in order of preference",
+            "fleet.region[4].names: is no key here; did you mean name?",
+            "fleet.zones.reserve-percent: found 95; allowed: a whole number from 0 to 90",
+            "fleet.zones.most-left-percent: found 0; allowed: a whole number from 1 to 100", "fleet.zones.hold-s: found \"10\"",
+            "fleet.zones.step: is no key here; did you mean step-s?")) {
+            assertTrue(all.contains(part), part + " is not among\n" + all);
+        }
+        assertEquals(10, found.size(), all);
+    }
+
+    @Test
+    void allFaultsOfAFleetComeAtOnce() {
+        List<String> found = faults("""
+            [fleet]
+            name = "n0"
+            region = "a/b"
+            era = 0
+            listen = "127.0.0.1:0"
+            lease-ms = 100
+            drift-percent = "1"
+            effects-ms = 7
+            [[fleet.voter]]
+            name = "n0"
+            address = "127.0.0.1:7000"
+            [[fleet.voter]]
+            name = "n0"
+            address = "nowhere"
+            [[fleet.voter]]
+            name = "n2"
+            address = "127.0.0.1:7000"
+            [[fleet.voter]]
+            adress = "127.0.0.1:7003"
+            """ + POOLS);
+        String all = String.join("\n", found);
+        for (String part : List.of("line 1: fleet.zone: is missing", "line 1: fleet.state: is missing and n0 is a voter",
+            "line 3: fleet.region: found \"a/b\"; allowed: up to 64 of a-z",
+            "line 4: fleet.era: found 0; allowed: a whole number from 1 to 1048576",
+            "line 5: fleet.listen: found \"127.0.0.1:0\"; allowed: host:port", "line 6: fleet.lease-ms: found 100",
+            "line 7: fleet.drift-percent: found \"1\"", "line 8: fleet.effects-ms: is no key here; did you mean effect-ms?",
+            "line 13: fleet.voter[2].name: voter n0 stands there twice", "line 14: fleet.voter[2].address: found \"nowhere\"",
+            "line 17: fleet.voter[3].address: voter n0 is reached at", "line 18: fleet.voter[4].name: is missing",
+            "line 18: fleet.voter[4].address: is missing",
+            "line 19: fleet.voter[4].adress: is no key here; did you mean address?")) {
+            assertTrue(all.contains(part), part + " is not among\n" + all);
+        }
+        assertEquals(14, found.size(), all);
+    }
+
+    @Test
+    void aFleetHasThreeToFiveVotersAndOthersNoPlaceOfVoters() {
+        only(fleet("name = \"n9\"\nzone = \"a\"\n", 2), "fleet.voter: has 2 entries", "3 or 5");
+        only(fleet("name = \"n9\"\nzone = \"a\"\n", 6), "fleet.voter: has 6 entries", "5 at most");
+        only(fleet("name = \"n9\"\nzone = \"a\"\nlisten = \"127.0.0.1:7\"\n", 3), "fleet.listen: is there and n9 is no voter");
+    }
+
+    @Test
+    void whileItRunsOneVoterComesAndOneGoesAtMost() throws Exception {
+        String keys = "name = \"n9\"\nzone = \"a\"\n";
+        FleetPlan three = OperatorFile.parse(fleet(keys, 3), folder, null).fleet();
+        FleetPlan four = OperatorFile.parse(fleet(keys, 4), folder, null).fleet();
+        FleetPlan five = OperatorFile.parse(fleet(keys, 5), folder, null).fleet();
+        String moved = fleet(keys, 3).replace("n2", "n5").replace("zone = \"a\"", "zone = \"b\"");
+        FleetPlan other = OperatorFile.parse(moved, folder, null).fleet();
+        three.checkNext(four);
+        five.checkNext(four);
+        three.checkNext(other);
+        assertTrue(assertThrows(Operator.Faulty.class, () -> three.checkNext(five)).getMessage().contains("at a time"));
+        assertThrows(Operator.Faulty.class, () -> five.checkNext(three));
+        assertEquals(List.of("fleet.zone"), three.forNextStart(other));
+    }
 }
--- a/src/test/java/rushpin/node/CounterClientTest.java
+++ b/src/test/java/rushpin/node/CounterClientTest.java
@@ -125,4 +125,62 @@
             assertTrue(end != null && end.startsWith(4L * i + " "), "call " + i + " was told as " + end);
         }
     }
+
+    /** A loop that is busy past the time-out finds the timer due and the answer unread: it had come in time. */
+    @Test
+    void anAnswerThatLiesUnreadIsReadBeforeItsCallIsGivenUp() throws Exception {
+        CompletableFuture<Void> second = new CompletableFuture<>(), free = new CompletableFuture<>();
+        CompletableFuture<Void> busy = new CompletableFuture<>();
+        counting = m -> {
+            if (m.first().contains("/tally/5?")) {
+                // Whose calls go by another connection: its answer waits while the loop is busy with this one's.
+                busy.join();
+                m.answer(Peer.ok("", "5"));
+                second.complete(null);
+            } else {
+                m.answer(Peer.ok("", "4"));
+            }
+        };
+        CounterClient slow = loop.submit(() -> new CounterClient((name, outcome, total) -> {
+            told.add(name + " " + outcome + " " + total);
+            if (name == 4) {
+                busy.complete(null);
+                free.join();
+            }
+        }, loop, counting(counter).upstream())).get();
+        loop.execute(() -> {
+            slow.count(5, 1, LIFE);
+            slow.count(4, 1, LIFE);
+        });
+        second.join();
+        for (long at = System.nanoTime(); System.nanoTime() - at < 2_050_000_000L;) {
+            Thread.onSpinWait();
+        }
+        free.complete(null);
+        assertTold("4 OK 4.0");
+        assertTold("5 OK 5.0");
+    }
+
+    /** A process busy past the time-out between asking and writing took its own lateness for the counter's silence. */
+    @Test
+    void theTimeOfACallBeginsWhenItIsWritten() throws Exception {
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        counting = m -> {
+            go.join();
+            m.answer(Peer.ok("", "5"));
+        };
+        loop.submit(() -> {
+            client.count(4, 1, LIFE);
+            for (long at = System.nanoTime(); System.nanoTime() - at < 2_050_000_000L;) {
+                Thread.onSpinWait();
+            }
+        }).get();
+        counter.next();
+        // Timers that were due have had their turns, also those that look once more.
+        for (int i = 0; i < 4; i++) {
+            loop.schedule(() -> { }, 1, TimeUnit.NANOSECONDS).get();
+        }
+        go.complete(null);
+        assertTold("4 OK 5.0");
+    }
 }
--- a/src/test/java/rushpin/node/OperatorProcessTest.java
+++ b/src/test/java/rushpin/node/OperatorProcessTest.java
@@ -126,4 +126,27 @@
             assertFalse(loaded.stream().anyMatch(line -> line.contains(off)), off + " was loaded");
         }
     }
+
+    /** The same for what is shared with other processes. */
+    @Test
+    void withoutATableFleetNothingOfItIsLoaded() throws Exception {
+        Path operator = Files.writeString(folder.resolve("rushpin.toml"), String.format(ONE, "a"));
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        Process process = start(List.of("-Xlog:class+load:file=" + folder.resolve("classes.log")),
+            config(member("s-0", server.address(), "Ready", 0)), operator);
+        String serving = await("serving on");
+        assertEquals("200", ask(Integer.parseInt(serving.substring(serving.lastIndexOf(':') + 1)), "a.example", "t-1"));
+        hangUp(process);
+        await("configuration read again");
+        process.destroy();
+        assertTrue(process.waitFor(60, TimeUnit.SECONDS));
+        List<String> loaded = Files.readAllLines(folder.resolve("classes.log"));
+        assertTrue(loaded.stream().anyMatch(line -> line.contains("rushpin.node.PooledServices")));
+        for (String off : List.of("rushpin.accord.", "rushpin.peer.", "rushpin.failover.", "org.apache.ratis", "io.grpc.",
+            "rushpin.node.Together", "rushpin.node.Voter", "rushpin.node.Witness", "rushpin.node.Gathered",
+            "rushpin.config.FleetKeys", "rushpin.config.FleetPlan", "rushpin.pooling.", "rushpin.budget.Ration", "GroupGate",
+            "ServerPool$Turn", "GroupSide", "rushpin.config.GroupKeys", "rushpin.config.GroupPlan")) {
+            assertFalse(loaded.stream().anyMatch(line -> line.contains(off)), off + " was loaded");
+        }
+    }
 }
