--- a/src/main/java/rushpin/cli/Main.java
+++ b/src/main/java/rushpin/cli/Main.java
@@ -15,6 +15,7 @@
 import rushpin.node.Console;
 import rushpin.node.Desk;
 import rushpin.node.EdgeNode;
+import rushpin.node.LibraryLines;
 import rushpin.node.Rehearsal;
 
 /** The program: {@code serve} runs a real edge node, {@code drill} the decisions on the simulator's wire. */
@@ -81,6 +82,7 @@
         }
         // Said outright, or Netty looks for the other libraries first, which takes a part of the start.
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        LibraryLines.plain();
         try {
             Path path = Path.of(file);
             AtomicReference<EdgeNode> serving = new AtomicReference<>(), started = new AtomicReference<>();
@@ -176,6 +178,7 @@
             Runtime.getRuntime().halt(0);
         } catch (Exception e) {
             System.err.println("the drain did not end: " + e);
+            Runtime.getRuntime().halt(1);
         }
     }
 
--- a/src/main/java/rushpin/config/OperatorFile.java
+++ b/src/main/java/rushpin/config/OperatorFile.java
@@ -22,6 +22,7 @@
 import rushpin.membership.Roll;
 import rushpin.membership.discovery.RollReader;
 import rushpin.net.ByteBudget;
+import rushpin.net.Descriptors;
 import rushpin.net.Upstream;
 import rushpin.net.xds.XdsPlan;
 import rushpin.route.Reading;
@@ -83,7 +84,7 @@
         Keys process = root.table("process");
         int sockets = platform == null ? 1024 : platform.sockets();
         long memory = platform == null ? 128L << 20 : platform.memory();
-        Grants total = grants(process, new Grants(sockets, Math.max(16, sockets * 3L / 8),
+        Grants total = grants(process, new Grants(sockets, Descriptors.of(sockets).servers(),
             ByteBudget.most(memory) / 2, Math.max(8, sockets / 16)), new Grants(MOST, MOST, MOST, MOST));
         Operator.Listener listener = Operator.Listener.valueOf(process.word("listener", "own",
             List.of("own", "reuseport", "inherited")).toUpperCase(Locale.ROOT));
@@ -355,9 +356,10 @@
         checkSum(process, "connections", total, plans, Grants::connections);
         checkSum(process, "body-bytes", total, plans, Grants::bytes);
         checkSum(process, "connects", total, plans, Grants::connects);
-        if (platform != null && total.connections() > platform.sockets() / 2) {
-            process.fault("connections", "found " + total.connections(), "half of the process's descriptors, "
-                + platform.sockets() / 2 + ", at most: clients have the other half");
+        long servers = platform == null ? MOST : Descriptors.of(platform.sockets()).servers();
+        if (total.connections() > servers) {
+            process.fault("connections", "found " + total.connections(), servers + " at most: of " + platform.sockets()
+                + " descriptors clients and the process itself have the others");
         }
     }
 
--- a/src/main/java/rushpin/console/ConsoleServer.java
+++ b/src/main/java/rushpin/console/ConsoleServer.java
@@ -26,7 +26,7 @@
  * later. A caller that finishes no line is let go after {@value #PATIENCE_MS} ms, or when {@value #MOST} others are there.
  */
 public final class ConsoleServer implements AutoCloseable {
-    private static final int MOST = 32, MOST_LINE = 512;
+    private static final int MOST = 8, MOST_LINE = 512;
     private static final long PATIENCE_MS = 5_000;
 
     /** Answers calls. */
--- a/src/main/java/rushpin/net/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -63,6 +64,8 @@
     private static final long LINGER = 1_000 * MS;
     /** A look that comes so late was kept from it by more than a busy loop. */
     private static final long STOOD = 4 * SWEEP;
+    /** How soon accepting is tried again where it failed. */
+    private static final long AGAIN = 250 * MS;
     /** For how long requests are decoded before the loop looks at its sockets again. */
     private static final long SLICE = MS;
     /**
@@ -82,6 +85,8 @@
     private final Turns<Session> turns;
     private long swept = System.nanoTime();
     private boolean turning;
+    /** Connections that ended since the loop's last look at its sockets. */
+    private int gone;
     private Channel listening;
     /** The listening socket if it is this process's own, be it beside others' at the same address; else null. */
     private ServerSocketChannel own;
@@ -90,7 +95,7 @@
     private boolean stopped;
 
     /**
-     * Holds half of the descriptors at most; opens nothing yet.
+     * Holds its part of {@code sockets} descriptors at most; opens nothing yet.
      *
      * @param byTurns whether the loop's time is dealt out to pools: a request is decoded when its pool's turn comes
      */
@@ -103,8 +108,7 @@
         this.loop = loop;
         this.listen = listen;
         turns = byTurns ? new Turns<>() : null;
-        // Half of the descriptors; app servers have three eighths, the rest is the process's own.
-        most = Math.max(8, sockets / 2);
+        most = Descriptors.of(sockets).clients();
         mostKept = Math.max(4, sockets / 6);
         // With a delay: after a stall a fixed rate would catch up with all looks that were missed, one upon the other.
         loop.scheduleWithFixedDelay(this::sweep, SWEEP, SWEEP, TimeUnit.NANOSECONDS);
@@ -162,6 +166,17 @@
 
     private ServerBootstrap accepting(ServerBootstrap bootstrap) {
         return bootstrap
+            .option(ChannelOption.RECVBUF_ALLOCATOR, new Acceptance(this::places))
+            .handler(new ChannelInboundHandlerAdapter() {
+                @Override
+                public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+                    // Those who wait are tried again when a connection has ended, or soon; the selector would ask at once.
+                    Trouble.report("a new connection is not taken", cause);
+                    context.channel().config().setAutoRead(false);
+                    loop.schedule(() -> context.channel().config().setAutoRead(!stopped && sessions.size() < most), AGAIN,
+                        TimeUnit.NANOSECONDS);
+                }
+            })
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 1024, READ))
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
@@ -172,6 +187,11 @@
             });
     }
 
+    /** Of the sockets that have gone since the loop's last look the descriptors are held until its next one. */
+    private int places() {
+        return most - sessions.size() - gone;
+    }
+
     private CompletableFuture<Void> told(ChannelFuture begun) {
         CompletableFuture<Void> bound = new CompletableFuture<>();
         begun.addListener((ChannelFutureListener) done -> {
@@ -728,6 +748,10 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             sessions.remove(this);
+            if (gone++ == 0) {
+                // Behind the selector's next pass, which lets go of their descriptors.
+                loop.schedule(() -> gone = 0, 1, TimeUnit.NANOSECONDS);
+            }
             dropUpload();
             body.take().release();
             account();
--- a/src/main/java/rushpin/node/Budgets.java
+++ b/src/main/java/rushpin/node/Budgets.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import rushpin.budget.Share;
 import rushpin.net.ByteBudget;
+import rushpin.net.Descriptors;
 import rushpin.net.OpenRequest;
 import rushpin.net.ServerPool;
 
@@ -24,9 +25,9 @@
         this.common = common;
     }
 
-    /** All that the process has, for its one pool: three eighths of the descriptors go to app servers. */
+    /** All that the process has, for its one pool. */
     static Budgets whole(int sockets, ByteBudget common) {
-        return new Budgets(Share.fixed(Long.MAX_VALUE / 4), Share.fixed(Math.max(16, sockets * 3L / 8)),
+        return new Budgets(Share.fixed(Long.MAX_VALUE / 4), Share.fixed(Descriptors.of(sockets).servers()),
             null, Share.fixed(Long.MAX_VALUE / 4), common);
     }
 
--- /dev/null
+++ b/src/test/java/rushpin/node/DescriptorsProcessTest.java
@@ -0,0 +1,62 @@
+package rushpin.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A real process whose descriptors are all in use. */
+class DescriptorsProcessTest extends Stage {
+    private static final String HEALTH = "GET /_health HTTP/1.1\r\nHost: n0\r\n\r\n";
+    @TempDir
+    Path folder;
+
+    private Socket client(int port) throws IOException {
+        Socket client = new Socket("127.0.0.1", port);
+        client.setSoTimeout(60_000);
+        toClose.add(client);
+        write(client);
+        return client;
+    }
+
+    private static void write(Socket to) throws IOException {
+        to.getOutputStream().write(HEALTH.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Its soft limit on descriptors becomes what it has open now and {@code more}. */
+    private static void room(Process process, int more) throws Exception {
+        try (Stream<Path> open = Files.list(Path.of("/proc", Long.toString(process.pid()), "fd"))) {
+            assertEquals(0, new ProcessBuilder("prlimit", "--pid", Long.toString(process.pid()),
+                "--nofile=" + (open.count() + more) + ":").start().waitFor());
+        }
+    }
+
+    /** A newcomer waits and is served later; nothing that is said of it ends the event loop, and with it the process. */
+    @Test
+    void whereNoneIsLeftNewcomersWaitAndTheOthersAreServed() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        Daemon daemon = new Daemon(folder, config(member("s-0", server.address(), "Ready", 0)), null);
+        toClose.add(daemon);
+        int port = daemon.port();
+        Socket first = client(port);
+        // Until it has heard of its servers it is not ready.
+        while (!status(Peer.read(first)).equals("200")) {
+            write(first);
+        }
+        room(daemon.process, 0);
+        Socket newcomer = client(port);
+        daemon.await("a new connection is not taken: java.io.IOException: Too many open files");
+        write(first);
+        assertEquals("200", status(Peer.read(first)));
+        room(daemon.process, 100);
+        assertEquals("200", status(Peer.read(newcomer)));
+        daemon.signal("TERM");
+        assertEquals(0, daemon.ended());
+    }
+}
