--- a/src/main/java/rushpin/net/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -87,6 +87,8 @@
     private boolean turning;
     /** Connections that ended since the loop's last look at its sockets. */
     private int gone;
+    /** When it was last said that a connection could not be taken. */
+    private long untaken = System.nanoTime() - 2 * AGAIN;
     private Channel listening;
     /** The listening socket if it is this process's own, be it beside others' at the same address; else null. */
     private ServerSocketChannel own;
@@ -171,7 +173,10 @@
                 @Override
                 public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
                     // Those who wait are tried again when a connection has ended, or soon; the selector would ask at once.
-                    Trouble.report("a new connection is not taken", cause);
+                    if (System.nanoTime() - untaken > AGAIN) {
+                        untaken = System.nanoTime();
+                        Trouble.report("a new connection is not taken", cause);
+                    }
                     context.channel().config().setAutoRead(false);
                     loop.schedule(() -> context.channel().config().setAutoRead(!stopped && sessions.size() < most), AGAIN,
                         TimeUnit.NANOSECONDS);
--- a/src/main/java/rushpin/net/Descriptors.java
+++ b/src/main/java/rushpin/net/Descriptors.java
@@ -11,9 +11,10 @@
 public record Descriptors(int clients, int servers) {
     /**
      * What the process itself holds at the most: 19 files, pipes and selectors, of which 2 are open for a moment; 2 listening sockets; 9
-     * callers of the console; 2 watches of discovery; 4 connections to the counter.
+     * callers of the console; 2 watches of discovery; 4 connections to the counter; and 8 sockets to app servers that gave way to
+     * others, whose descriptors the selector lets go of in its next pass.
      */
-    private static final int OWN = 36;
+    private static final int OWN = 44;
 
     /** Of so many in all an eighth, or what it may need, is the process's own; of the rest clients have four sevenths. */
     public static Descriptors of(int all) {
--- a/src/main/java/rushpin/node/Rehearsal.java
+++ b/src/main/java/rushpin/node/Rehearsal.java
@@ -64,6 +64,11 @@
  */
 public final class Rehearsal implements AutoCloseable {
     private static final int SERVERS = 8, CLIENTS = 10, CUSTOMERS = 499;
+    /**
+     * The descriptors of the second node: 16 of clients and as many to app servers, whose other ends this process holds too. With all that the
+     * process may have a slow machine's rehearsal met its limit.
+     */
+    private static final int DESCRIPTORS = 64;
     /** One answer in so many is a refusal unseen, or an error: further attempts are rehearsed too. */
     private static final int REFUSED = 17, FAILED = 41;
     /** A first digit that is cut off again, so that leading zeros stand there. */
@@ -131,7 +136,7 @@
         }
         SocketAddress peer = members.get(0).address();
         Config mine = new Config("rehearsal", file("n"), peer, config.counter() == null ? null : peer, config.seed(),
-            config.sockets(), config.memory(), new Roll(1, true, members), config.connectTimeout(),
+            Math.min(DESCRIPTORS, config.sockets()), config.memory(), new Roll(1, true, members), config.connectTimeout(),
             config.keepAlive(), config.names(), unceiled(config.settings()));
         try (EdgeNode node = new EdgeNode(mine)) {
             node.start();
