--- a/src/main/java/rushpin/judge/Accords.java
+++ b/src/main/java/rushpin/judge/Accords.java
@@ -25,11 +25,11 @@
  * ({@link System#nanoTime}). Lines may come from many threads; the judgement is for when all is over.
  */
 public final class Accords {
-    private static final int MOST_EVENTS = 1_000_000, MOST_SHOWN = 3;
+    private static final int MOST_EVENTS = 1_000_000;
     private static final long MS = 1_000_000L;
 
     /** The rules. */
-    public enum Rule {
+    public enum Rule implements Breach.Rule {
         /** Every line could be read, and none was left out. */
         ALL_READ("each line was read"),
         /** At most one process holds a resource at any moment. */
@@ -57,16 +57,12 @@
             this.line = line;
         }
 
-        /** What it says, in one line. */
+        @Override
         public String line() {
             return line;
         }
     }
 
-    /** A rule that was broken, and by what. */
-    public record Breach(Rule rule, String what) {
-    }
-
     /** What was agreed: the lease and the longest effect, nanoseconds. */
     public record Bounds(long lease, long effect) {
     }
@@ -142,7 +138,7 @@
     private final Map<String, Integer> starts = new HashMap<>();
     private final Collection<Said> events = new ConcurrentLinkedQueue<>();
     private final AtomicInteger count = new AtomicInteger();
-    private final Collection<Breach> found = new ConcurrentLinkedQueue<>();
+    private final Collection<Breach<Rule>> found = new ConcurrentLinkedQueue<>();
 
     /** A process that is started now. */
     public synchronized Run run(String name) {
@@ -155,11 +151,11 @@
     }
 
     private void breach(Rule rule, String what) {
-        found.add(new Breach(rule, what));
+        found.add(new Breach<>(rule, what));
     }
 
     /** The same where all that was said up to now is the end. */
-    public List<Breach> judge(Bounds bounds, Collection<Run> there) {
+    public List<Breach<Rule>> judge(Bounds bounds, Collection<Run> there) {
         return judge(bounds, there, said());
     }
 
@@ -169,7 +165,7 @@
      * @param there the runs that were alive at the end; those of them count that have a session
      * @param atEnd what was said up to the end, by {@link #said}: a plan that is on its way later is no breach
      */
-    public List<Breach> judge(Bounds bounds, Collection<Run> there, Collection<Said> atEnd) {
+    public List<Breach<Rule>> judge(Bounds bounds, Collection<Run> there, Collection<Said> atEnd) {
         if (count.get() > MOST_EVENTS) {
             breach(Rule.ALL_READ, count.get() - MOST_EVENTS + " lines were left out");
         }
@@ -180,14 +176,7 @@
         plans();
         last(there, atEnd);
         voters();
-        return found.stream().sorted(Comparator.comparing(Breach::rule)).toList();
-    }
-
-    /** The first breaches of a rule in one line; empty if there is none. */
-    public static String line(Rule rule, List<Breach> breaches) {
-        List<String> all = breaches.stream().filter(each -> each.rule == rule).map(Breach::what).toList();
-        return all.isEmpty() ? "" : all.size() + " times, such as " + String.join("; ", all.subList(0,
-            Math.min(all.size(), MOST_SHOWN)));
+        return Breach.sorted(found);
     }
 
     /** By resource, in order of their beginning. */
--- a/src/main/java/rushpin/judge/Connections.java
+++ b/src/main/java/rushpin/judge/Connections.java
@@ -46,7 +46,7 @@
     }
 
     /** A rule. */
-    public enum Rule {
+    public enum Rule implements Breach.Rule {
         /** Never more open than the number, of all processes together. */
         NEVER_OVER("open connections never over the number"),
         /** A tenant that asks has its floor. */
@@ -60,16 +60,12 @@
             this.line = line;
         }
 
-        /** In one line. */
+        @Override
         public String line() {
             return line;
         }
     }
 
-    /** A rule that was broken, and by what. */
-    public record Breach(Rule rule, String what) {
-    }
-
     private Connections() {
     }
 
@@ -115,16 +111,16 @@
      * @param numbers in order; the first from before anything was open
      * @param carried by tenant
      */
-    public static List<Breach> judge(Bounds bounds, List<Open> opens, List<Under> unders, List<Number> numbers,
+    public static List<Breach<Rule>> judge(Bounds bounds, List<Open> opens, List<Under> unders, List<Number> numbers,
                                      List<Asked> asked, Map<String, List<Carried>> carried, List<Trouble> troubles) {
-        List<Breach> found = new ArrayList<>();
+        List<Breach<Rule>> found = new ArrayList<>();
         never(opens, numbers, found);
         for (Asked one : asked) {
             List<Carried> own = carried.getOrDefault(one.tenant, List.of());
             for (long from = one.from + bounds.floorAfter; from + bounds.window <= one.until; from += bounds.window / 2) {
                 double use = use(own, from, from + bounds.window);
                 if (use < bounds.use * one.floor) {
-                    found.add(new Breach(Rule.FLOOR_KEPT, "tenant " + one.tenant + " had " + Math.round(10 * use) / 10.0
+                    found.add(new Breach<>(Rule.FLOOR_KEPT, "tenant " + one.tenant + " had " + Math.round(10 * use) / 10.0
                         + " of its " + one.floor + ", " + (from - one.from) / 1_000_000 + " ms after it asked"));
                     break;
                 }
@@ -134,14 +130,14 @@
             boolean excused = one.at >= one.due - bounds.slack
                 || troubles.stream().anyMatch(trouble -> trouble.from <= one.at && one.at <= trouble.until);
             if (!excused) {
-                found.add(new Breach(Rule.NOT_UNDER_A_REQUEST, "request " + one.request + " at " + one.server + ", "
+                found.add(new Breach<>(Rule.NOT_UNDER_A_REQUEST, "request " + one.request + " at " + one.server + ", "
                     + (one.due - one.at) / 1_000_000 + " ms before its time was over"));
             }
         }
         return found;
     }
 
-    private static void never(List<Open> opens, List<Number> numbers, List<Breach> found) {
+    private static void never(List<Open> opens, List<Number> numbers, List<Breach<Rule>> found) {
         int now = 0, next = 0, most = 0;
         for (long[] step : steps(opens)) {
             while (next < numbers.size() && numbers.get(next).from <= step[0]) {
@@ -158,15 +154,9 @@
         }
     }
 
-    private static void over(int now, int most, long at, List<Breach> found) {
+    private static void over(int now, int most, long at, List<Breach<Rule>> found) {
         if (now > most) {
-            found.add(new Breach(Rule.NEVER_OVER, now + " of " + most + " at " + at));
+            found.add(new Breach<>(Rule.NEVER_OVER, now + " of " + most + " at " + at));
         }
     }
-
-    /** What broke a rule, in one line; empty for nothing. */
-    public static String line(Rule rule, List<Breach> found) {
-        List<Breach> own = found.stream().filter(each -> each.rule == rule).toList();
-        return own.isEmpty() ? "" : own.size() + " times, first: " + own.get(0).what;
-    }
 }
--- a/src/main/java/rushpin/judge/Zones.java
+++ b/src/main/java/rushpin/judge/Zones.java
@@ -23,11 +23,11 @@
  * under a plan as without one.
  */
 public final class Zones {
-    private static final int MOST_SHOWN = 3, HALF = 500;
+    private static final int HALF = 500;
     private static final long MS = 1_000_000L, HOUR = 3_600_000 * MS;
 
     /** The rules. */
-    public enum Rule {
+    public enum Rule implements Breach.Rule {
         /** Whoever goes by a plan was told what it says. */
         PLANS_KNOWN("each plan that a pool goes by was agreed, and means one thing"),
         /** Nothing goes to a zone that the plan does not name, except what was out. */
@@ -45,16 +45,12 @@
             this.line = line;
         }
 
-        /** What it says, in one line. */
+        @Override
         public String line() {
             return line;
         }
     }
 
-    /** A rule that was broken, and by what. */
-    public record Breach(Rule rule, String what) {
-    }
-
     /**
      * What was agreed.
      *
@@ -107,7 +103,7 @@
     }
 
     private final Bounds bounds;
-    private final List<Breach> found = new ArrayList<>();
+    private final List<Breach<Rule>> found = new ArrayList<>();
     private final TreeMap<Key, Agreed> agreed = new TreeMap<>();
     private final Map<String, List<Epoch>> epochs = new HashMap<>();
     /** By pool: the spans in which it went by the local rule, which keeps more near than the plan and sends no more away. */
@@ -131,7 +127,7 @@
      * @param sent what reached servers
      * @param end when the run was over
      */
-    public static List<Breach> judge(Bounds bounds, Collection<Accords.Said> said, Collection<Sent> sent,
+    public static List<Breach<Rule>> judge(Bounds bounds, Collection<Accords.Said> said, Collection<Sent> sent,
                                      Collection<Trouble> troubles, long end) {
         Zones zones = new Zones(bounds);
         zones.read(said, end);
@@ -139,18 +135,11 @@
         zones.parts(sent, troubles);
         zones.behind(said, end);
         zones.leaves();
-        return zones.found.stream().sorted(Comparator.comparing(Breach::rule)).toList();
-    }
-
-    /** The first breaches of a rule in one line; empty if there is none. */
-    public static String line(Rule rule, List<Breach> breaches) {
-        List<String> all = breaches.stream().filter(each -> each.rule == rule).map(Breach::what).toList();
-        return all.isEmpty() ? "" : all.size() + " times, such as " + String.join("; ", all.subList(0,
-            Math.min(all.size(), MOST_SHOWN)));
+        return Breach.sorted(zones.found);
     }
 
     private void breach(Rule rule, String what) {
-        found.add(new Breach(rule, what));
+        found.add(new Breach<>(rule, what));
     }
 
     private void read(Collection<Accords.Said> said, long end) {
--- a/src/main/java/rushpin/rig/AccordScenario.java
+++ b/src/main/java/rushpin/rig/AccordScenario.java
@@ -57,12 +57,8 @@
             try (TogetherFleet fleet = new TogetherFleet(yard, shape, plans, options.seed())) {
                 Play play = new Play(options, report, yard, fleet);
                 boolean whole = play.run();
-                List<Accords.Breach> found = fleet.accords.judge(shape.bounds(),
-                    whole ? fleet.members.stream().map(Member::run).toList() : List.of(), fleet.seen());
-                for (Accords.Rule rule : Accords.Rule.values()) {
-                    String broken = Accords.line(rule, found);
-                    report.claim(rule.line() + (broken.isEmpty() ? "" : ": " + broken), broken.isEmpty());
-                }
+                report.claims("", Accords.Rule.values(), fleet.accords.judge(shape.bounds(),
+                    whole ? fleet.members.stream().map(Member::run).toList() : List.of(), fleet.seen()));
             }
             yard.end();
             report.add(Judge.judge(yard.records, RigConfig.rules(plans)));
--- a/src/main/java/rushpin/rig/BudgetSide.java
+++ b/src/main/java/rushpin/rig/BudgetSide.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import rushpin.judge.AccordEvent.Permitted;
 import rushpin.judge.Accords;
+import rushpin.judge.Breach;
 import rushpin.judge.Connections;
 import rushpin.judge.Judge;
 import rushpin.judge.Records.Attempt;
@@ -214,13 +215,13 @@
         return System.nanoTime();
     }
 
-    List<Connections.Breach> judged() {
+    List<Breach<Connections.Rule>> judged() {
         Connections.Bounds bounds = new Connections.Bounds((LONGEST_MS + 3 * LEASE_MS) * MS, WINDOW, USE, SLACK);
         return Connections.judge(bounds, door.opens(), door.under(), numbers, asked, carried(), troubles);
     }
 
     /** What the rules of what is decided in common find; after the end. */
-    List<Accords.Breach> accords() {
+    List<Breach<Accords.Rule>> accords() {
         return fleet.accords.judge(shape.bounds(), List.of());
     }
 
--- a/src/main/java/rushpin/rig/BudgetsScenario.java
+++ b/src/main/java/rushpin/rig/BudgetsScenario.java
@@ -42,16 +42,8 @@
             Play play = new Play(options, report, side);
             play.run();
             side.end();
-            List<Connections.Breach> found = side.judged();
-            for (Connections.Rule rule : Connections.Rule.values()) {
-                String broken = Connections.line(rule, found);
-                report.claim(rule.line() + (broken.isEmpty() ? "" : ": " + broken), broken.isEmpty());
-            }
-            List<Accords.Breach> accords = side.accords();
-            for (Accords.Rule rule : Accords.Rule.values()) {
-                String broken = Accords.line(rule, accords);
-                report.claim(rule.line() + (broken.isEmpty() ? "" : ": " + broken), broken.isEmpty());
-            }
+            report.claims("", Connections.Rule.values(), side.judged());
+            report.claims("", Accords.Rule.values(), side.accords());
             report.add(side.rules().stream().filter(breach -> breach.rule() != Judge.Rule.COLD_NOT_PUSHED_OVER).toList());
         }
         return report;
--- a/src/main/java/rushpin/rig/Report.java
+++ b/src/main/java/rushpin/rig/Report.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import rushpin.judge.Breach;
 import rushpin.judge.Judge;
 import rushpin.study.Columns;
 
@@ -42,6 +43,14 @@
         claims.add(new Claim(what, holds));
     }
 
+    /** Says of each rule of a judge that it holds, or what broke it; {@code of} says of which play, as in "seed 7: ". */
+    public <R extends Enum<R> & Breach.Rule> void claims(String of, R[] rules, List<Breach<R>> found) {
+        for (R rule : rules) {
+            String broken = Breach.line(rule, found);
+            claim(of + rule.line() + (broken.isEmpty() ? "" : ": " + broken), broken.isEmpty());
+        }
+    }
+
     /** Adds what the judge found. */
     public void add(List<Judge.Breach> found) {
         breaches.addAll(found);
--- a/src/main/java/rushpin/rig/ZoneSide.java
+++ b/src/main/java/rushpin/rig/ZoneSide.java
@@ -13,6 +13,7 @@
 import rushpin.judge.AccordEvent.Agreed;
 import rushpin.judge.AccordEvent.Planned;
 import rushpin.judge.Accords;
+import rushpin.judge.Breach;
 import rushpin.judge.Judge;
 import rushpin.judge.Records.Attempt;
 import rushpin.judge.Records.Exchange;
@@ -299,7 +300,7 @@
     }
 
     /** What the rules of plans find; after the end. */
-    List<Zones.Breach> judged() {
+    List<Breach<Zones.Rule>> judged() {
         Map<String, Exchange> exchanges = new HashMap<>();
         yard.records.exchanges().forEach(one -> exchanges.put(one.id(), one));
         Set<String> tried = new HashSet<>();
@@ -316,7 +317,7 @@
     }
 
     /** What the rules of what is decided in common find; after the end. */
-    List<Accords.Breach> accords() {
+    List<Breach<Accords.Rule>> accords() {
         return fleet.accords.judge(shape.bounds(), List.of());
     }
 
--- a/src/main/java/rushpin/rig/ZonesScenario.java
+++ b/src/main/java/rushpin/rig/ZonesScenario.java
@@ -309,18 +309,8 @@
                     .toList());
                 return;
             }
-            List<Zones.Breach> zones = side.judged();
-            for (Zones.Rule rule : Zones.Rule.values()) {
-                String broken = Zones.line(rule, zones);
-                report.claim("seed " + seed + ": " + rule.line() + (broken.isEmpty() ? "" : ": " + broken),
-                    broken.isEmpty());
-            }
-            List<Accords.Breach> accords = side.accords();
-            for (Accords.Rule rule : Accords.Rule.values()) {
-                String broken = Accords.line(rule, accords);
-                report.claim("seed " + seed + ": " + rule.line() + (broken.isEmpty() ? "" : ": " + broken),
-                    broken.isEmpty());
-            }
+            report.claims("seed " + seed + ": ", Zones.Rule.values(), side.judged());
+            report.claims("seed " + seed + ": ", Accords.Rule.values(), side.accords());
             report.add(side.rules());
         }
     }
--- a/src/test/java/rushpin/judge/ConnectionsTest.java
+++ b/src/test/java/rushpin/judge/ConnectionsTest.java
@@ -7,7 +7,6 @@
 import org.junit.jupiter.api.Test;
 import rushpin.judge.Connections.Asked;
 import rushpin.judge.Connections.Bounds;
-import rushpin.judge.Connections.Breach;
 import rushpin.judge.Connections.Carried;
 import rushpin.judge.Connections.Number;
 import rushpin.judge.Connections.Open;
--- a/src/test/java/rushpin/node/Fellows.java
+++ b/src/test/java/rushpin/node/Fellows.java
@@ -21,6 +21,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import rushpin.judge.Accords;
+import rushpin.judge.Breach;
 
 /** Nodes of one fleet as real processes, what they said, and what was done to them. Its waits are for lines. */
 final class Fellows implements AutoCloseable {
@@ -378,7 +379,7 @@
     }
 
     /** What the judge found, in lines. */
-    List<Accords.Breach> breaches() {
+    List<Breach<Accords.Rule>> breaches() {
         return accords.judge(new Accords.Bounds(TimeUnit.MILLISECONDS.toNanos(lease), TimeUnit.MILLISECONDS.toNanos(effect)),
             all.stream().filter(Fellow::isThere).map(each -> each.run).toList(), atEnd);
     }
