--- a/src/main/java/rushpin/accord/log/Replica.java
+++ b/src/main/java/rushpin/accord/log/Replica.java
@@ -220,7 +220,8 @@
     /** Where the vote and the log are. */
     private volatile Path files;
     private volatile RaftServer server;
-    private volatile RaftServer.Division division;
+    /** The library's part for this log. Tests hold its lock. */
+    volatile RaftServer.Division division;
     private volatile boolean open;
     private volatile boolean hangs;
     private volatile boolean over;
--- a/src/main/java/rushpin/accord/log/Sender.java
+++ b/src/main/java/rushpin/accord/log/Sender.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 import java.io.InterruptedIOException;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
 import java.util.Comparator;
+import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import org.apache.ratis.proto.RaftProtos.AppendEntriesReplyProto;
@@ -24,11 +27,26 @@
  * <p>As the library's plain one, but for its lock. A leader that hears of a later term steps down under the server's lock and waits there
  * for its senders; the library's sender asks for the same lock to tell of a later term. Where two requests are answered so within
  * a moment of each other (a leader that was cut off, and comes back), the voter stands still for ever. What is told needs no lock: it is
- * put into the leader's queue.
+ * put into the leader's queue. For the same reason a snapshot's chunks are made beside that lock.
  */
 final class Sender extends LogAppenderBase {
     Sender(RaftServer.Division server, LeaderState leads, FollowerInfo to) {
-        super(server, leads, to);
+        super(beside(server), leads, to);
+    }
+
+    /**
+     * The same server as another object: the library makes each chunk of a snapshot under the lock of the one that its sender was given, and
+     * this sender has to end while that lock is held. The chunk's term may so be of a moment after this lead; see {@link #ofThisLead}.
+     */
+    private static RaftServer.Division beside(RaftServer.Division server) {
+        return (RaftServer.Division) Proxy.newProxyInstance(RaftServer.Division.class.getClassLoader(),
+            new Class<?>[] {RaftServer.Division.class}, (self, method, arguments) -> {
+                try {
+                    return method.invoke(server, arguments);
+                } catch (InvocationTargetException e) {
+                    throw e.getCause();
+                }
+            });
     }
 
     @Override
@@ -129,6 +147,9 @@
         InstallSnapshotReplyProto reply = null;
         try {
             for (InstallSnapshotRequestProto chunk : newInstallSnapshotRequests(UUID.randomUUID().toString(), snapshot)) {
+                if (!ofThisLead(chunk)) {
+                    return false;
+                }
                 getFollower().updateLastRpcSendTime(false);
                 reply = getServerRpc().installSnapshot(chunk);
                 getFollower().updateLastRpcResponseTime();
@@ -159,4 +180,15 @@
         }
         return taken;
     }
+
+    /** Whether a chunk says the term of this lead, and not a later one in which another voter leads: who took it would follow this one. */
+    boolean ofThisLead(InstallSnapshotRequestProto chunk) {
+        try {
+            return chunk.getLeaderTerm()
+                == getLeaderState().newAppendEntriesRequestProto(getFollower(), List.of(), null, CallId.getAndIncrement()).getLeaderTerm();
+        } catch (IllegalStateException e) {
+            // The server's term is no more that of this lead: it steps down already.
+            return false;
+        }
+    }
 }
--- a/src/test/java/rushpin/accord/log/ReplicaTest.java
+++ b/src/test/java/rushpin/accord/log/ReplicaTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.lang.reflect.Proxy;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,8 +16,16 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
 import java.util.stream.Stream;
+import org.apache.ratis.proto.RaftProtos.AppendEntriesRequestProto;
+import org.apache.ratis.proto.RaftProtos.InstallSnapshotRequestProto;
 import org.apache.ratis.proto.RaftProtos.RequestVoteReplyProto;
+import org.apache.ratis.protocol.RaftPeerId;
+import org.apache.ratis.server.RaftServer;
+import org.apache.ratis.server.leader.FollowerInfo;
+import org.apache.ratis.server.leader.LeaderState;
 import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -309,6 +318,35 @@
         }
     }
 
+    /** A leader that steps down holds its server's lock until its senders have ended: none may wait for it, nor speak for a later leader. */
+    @Test
+    void aSnapshotIsSentWithoutTheServersLock() throws Exception {
+        try (Lan net = new Lan(root, 12)) {
+            RaftServer.Division server = net.alone().replica.division;
+            net.many(2_500);
+            net.await("a snapshot", () -> server.getStateMachine().getLatestSnapshot() != null);
+            FollowerInfo to = fake(FollowerInfo.class, method -> method.equals("getId") ? RaftPeerId.valueOf("b-1") : "b-1");
+            long term = server.getInfo().getCurrentTerm();
+            AtomicLong lead = new AtomicLong(term);
+            Sender sender = new Sender(server, fake(LeaderState.class,
+                method -> AppendEntriesRequestProto.newBuilder().setLeaderTerm(lead.get()).build()), to);
+            InstallSnapshotRequestProto chunk;
+            synchronized (server) {
+                chunk = CompletableFuture.supplyAsync(() -> sender.newInstallSnapshotRequests("", server.getStateMachine().getLatestSnapshot())
+                    .iterator().next()).get(60, TimeUnit.SECONDS);
+            }
+            assertEquals(term, chunk.getLeaderTerm());
+            assertTrue(sender.ofThisLead(chunk));
+            lead.set(term - 1);
+            assertFalse(sender.ofThisLead(chunk));
+        }
+    }
+
+    private static <T> T fake(Class<T> type, Function<String, Object> answers) {
+        return type.cast(Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] {type},
+            (self, method, arguments) -> answers.apply(method.getName())));
+    }
+
     @Test
     void moreThanOneVoterAtATimeIsRefused() throws Exception {
         try (Lan net = new Lan(root, 7)) {
