--- a/src/main/java/rushpin/node/Divisions.java
+++ b/src/main/java/rushpin/node/Divisions.java
@@ -7,23 +7,22 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import rushpin.accord.Budget;
 import rushpin.accord.Command;
 import rushpin.accord.Report;
 import rushpin.config.GroupPlan;
-import rushpin.peer.Mailbox;
 import rushpin.pooling.Divider;
 import rushpin.pooling.Rules;
 
 /**
  * What the one process that divides connections knows of what is wanted, and the divisions it makes of that: a task of its
- * own, like {@link Planning}, whose thread goes when it has nothing to do. The log's word is the last: a division that was made
- * from another one than that in force is refused there, and is made anew.
+ * own, see {@link Hearing}. The log's word is the last: a division that was made from another one than that in force is refused
+ * there, and is made anew.
  *
- * <p>Of each process the newest report waits, of looks the newest; what was reported counts for {@value #AGE_S} s.
+ * <p>Of each process the newest report counts, by session and sequence, for {@value #AGE_S} s. At the bound of processes, which
+ * holds whether this process looks or not, one that is not known is not heard until another one's report is too old.
  */
 final class Divisions implements AutoCloseable {
     /**
@@ -40,58 +39,66 @@
                 long at) {
     }
 
-    private record Heard(long session, List<Report.Need> needs, long at) {
+    private record Heard(long session, long sequence, List<Report.Need> needs, long at) {
     }
 
-    private static final int AGE_S = 5, IDLE_S = 30;
+    private static final int AGE_S = 5;
     private static final long AGE = TimeUnit.SECONDS.toNanos(AGE_S);
     /** A division stands for so long, and moves so many hundredths of the number at least, unless a floor is owed. */
     private static final long CALM = TimeUnit.SECONDS.toNanos(1);
     private static final int LEAST = 2, HUNDRED = 100;
 
     private final Consumer<List<Command.Divide>> drafts;
-    private final ScheduledThreadPoolExecutor thread;
-    private final Mailbox<Object> mailbox;
+    private final int mostProcesses;
+    private final Hearing<Look> hearing;
     /** Needs of each process, by its name. */
     private final Map<String, Heard> heard = new HashMap<>();
 
-    /** Knows nothing; {@code drafts} hears what came of each look, on this task's thread. */
-    Divisions(Consumer<List<Command.Divide>> drafts) {
+    /** Knows nothing; {@code drafts} hears what came of each look, on this task's thread; one a process is heard. */
+    Divisions(int mostProcesses, Consumer<List<Command.Divide>> drafts) {
         this.drafts = drafts;
-        thread = new ScheduledThreadPoolExecutor(1, task -> {
-            Thread made = new Thread(task, "fleet divider");
-            made.setDaemon(true);
-            return made;
-        });
-        thread.setKeepAliveTime(IDLE_S, TimeUnit.SECONDS);
-        thread.allowCoreThreadTimeOut(true);
-        mailbox = new Mailbox<>(1, note -> note instanceof Report report ? report.process() : note.getClass(), thread,
-            this::read, note -> { });
+        this.mostProcesses = mostProcesses;
+        hearing = new Hearing<>("fleet divider", mostProcesses, this::read, Look.class, this::read);
     }
 
     /** A report has come, sound or not; any thread. */
     void heard(Report report) {
         if (!report.needs().isEmpty()) {
-            mailbox.offer(report);
+            hearing.heard(report);
         }
     }
 
     /** Asks what is to be divided now; any thread. */
     void look(Look at) {
-        mailbox.offer(at);
+        hearing.look(at);
     }
 
-    private void read(Object note) {
+    private void read(Report report) {
         long now = System.nanoTime();
-        if (note instanceof Report report && report.isSound()) {
-            heard.put(report.process(), new Heard(report.session(), report.needs(), now));
-        } else if (note instanceof Look look) {
-            heard.keySet().retainAll(look.sessions().values());
-            heard.values().removeIf(each -> now - each.at() > AGE);
-            List<Command.Divide> all = new ArrayList<>();
-            look.groups().forEach(group -> next(look, group).ifPresent(all::add));
-            drafts.accept(all);
+        Heard known = heard.get(report.process());
+        boolean isOld = known != null && now - known.at() <= AGE && (report.session() < known.session()
+            || report.session() == known.session() && report.sequence() <= known.sequence());
+        if (!report.isSound() || isOld) {
+            return;
         }
+        if (known == null && heard.size() >= mostProcesses) {
+            forget(now);
+        }
+        if (known != null || heard.size() < mostProcesses) {
+            heard.put(report.process(), new Heard(report.session(), report.sequence(), report.needs(), now));
+        }
+    }
+
+    private void forget(long now) {
+        heard.values().removeIf(each -> now - each.at() > AGE);
+    }
+
+    private void read(Look look) {
+        heard.keySet().retainAll(look.sessions().values());
+        forget(System.nanoTime());
+        List<Command.Divide> all = new ArrayList<>();
+        look.groups().forEach(group -> next(look, group).ifPresent(all::add));
+        drafts.accept(all);
     }
 
     private Optional<Command.Divide> next(Look look, GroupPlan group) {
@@ -118,7 +125,6 @@
 
     @Override
     public void close() {
-        mailbox.close();
-        thread.shutdownNow();
+        hearing.close();
     }
 }
--- a/src/main/java/rushpin/node/Planning.java
+++ b/src/main/java/rushpin/node/Planning.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import rushpin.accord.Evidence;
@@ -16,14 +15,10 @@
 import rushpin.failover.Learned;
 import rushpin.failover.Limits;
 import rushpin.failover.Planner;
-import rushpin.peer.Mailbox;
 
 /**
- * What the one process that makes the plans knows of the fleet, and what {@link Planner} makes of it: a task of its own, so
- * that neither a thousand reports nor a long decision keep leases waiting. Its thread goes when it has nothing to do.
- *
- * <p>Of each process the newest report waits, of looks the newest. Reports that are older than {@value #AGE_S} s say nothing
- * any more.
+ * What the one process that makes the plans knows of the fleet, and what {@link Planner} makes of it: a task of its own, see
+ * {@link Hearing}. Reports that are older than {@value #AGE_S} s say nothing any more.
  */
 final class Planning implements AutoCloseable {
     /** What is to be published in place of a plan, under a fence. */
@@ -41,7 +36,7 @@
     record Look(Plan inForce, long fence, Map<String, String> regions, long at, Geography geography, Limits limits) {
     }
 
-    private static final int AGE_S = 5, IDLE_S = 30;
+    private static final int AGE_S = 5;
     /** From so many zones somebody has to tell; who sent less has seen too little to tell alone. */
     private static final int FEWEST_ZONES = 2, FEWEST_SENT = 5;
     /** So long a zone that is marked and without processes is kept in the plan by one planner, nanoseconds. */
@@ -49,8 +44,7 @@
     private static final String UNSEEN = "unseen";
 
     private final Consumer<Optional<Draft>> drafts;
-    private final ScheduledThreadPoolExecutor thread;
-    private final Mailbox<Object> mailbox;
+    private final Hearing<Look> hearing;
     private final Evidence evidence;
     private final Learned learned = new Learned();
     /** Of zones in which processes stand, and of those in which they stood and servers do. */
@@ -65,37 +59,26 @@
     Planning(int mostProcesses, Consumer<Optional<Draft>> drafts) {
         this.drafts = drafts;
         evidence = new Evidence(mostProcesses, TimeUnit.SECONDS.toNanos(AGE_S), FEWEST_ZONES, FEWEST_SENT);
-        thread = new ScheduledThreadPoolExecutor(1, task -> {
-            Thread made = new Thread(task, "fleet planner");
-            made.setDaemon(true);
-            return made;
-        });
-        thread.setKeepAliveTime(IDLE_S, TimeUnit.SECONDS);
-        thread.allowCoreThreadTimeOut(true);
-        mailbox = new Mailbox<>(1, note -> note instanceof Report report ? report.process() : note.getClass(), thread,
-            this::read, note -> { });
+        hearing = new Hearing<>("fleet planner", mostProcesses, report -> evidence.report(report, System.nanoTime()),
+            Look.class, this::read);
     }
 
     /** A report has come, sound or not; any thread. */
     void heard(Report report) {
-        mailbox.offer(report);
+        hearing.heard(report);
     }
 
     /** Asks what is to be published now; any thread. */
     void look(Look at) {
-        mailbox.offer(at);
+        hearing.look(at);
     }
 
-    private void read(Object note) {
+    private void read(Look look) {
         long now = System.nanoTime();
-        if (note instanceof Report report) {
-            evidence.report(report, now);
-        } else if (note instanceof Look look) {
-            evidence.forget(now);
-            Picture picture = evidence.picture(now);
-            say(picture, look.limits());
-            drafts.accept(next(look, picture));
-        }
+        evidence.forget(now);
+        Picture picture = evidence.picture(now);
+        say(picture, look.limits());
+        drafts.accept(next(look, picture));
     }
 
     private Optional<Draft> next(Look look, Picture picture) {
@@ -156,7 +139,6 @@
 
     @Override
     public void close() {
-        mailbox.close();
-        thread.shutdownNow();
+        hearing.close();
     }
 }
--- a/src/main/java/rushpin/node/Together.java
+++ b/src/main/java/rushpin/node/Together.java
@@ -176,7 +176,7 @@
         holding = new Holding(who, plan.lease() / Holding.MOST_OUT, MOST_OWN, System.nanoTime());
         Terms terms = new Terms(plan.lease(), plan.drift(), plan.effect(), MOST_SESSIONS, MOST_HELD);
         planning = plan.votes() ? new Planning(MOST_SESSIONS, draft -> mailbox.offer(new Note.Drafted(draft))) : null;
-        divisions = plan.votes() ? new Divisions(drafts -> mailbox.offer(new Note.Divided(drafts))) : null;
+        divisions = plan.votes() ? new Divisions(MOST_SESSIONS, drafts -> mailbox.offer(new Note.Divided(drafts))) : null;
         voter = plan.votes() ? new Voter(plan, terms, sockets, decision -> mailbox.offer(new Note.Learned(decision)),
             this::reported) : null;
     }
