--- a/src/main/java/rushpin/net/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -64,6 +64,8 @@
     private static final long LINGER = 1_000 * MS;
     /** A look that comes so late was kept from it by more than a busy loop. */
     private static final long STOOD = 4 * SWEEP;
+    /** Loaded with this class: where no descriptor is left a class that stands in a folder can't be. */
+    private static final Class<?> TOLD_BY = Trouble.class;
     /** How soon accepting is tried again where it failed. */
     private static final long AGAIN = 250 * MS;
     /** For how long requests are decoded before the loop looks at its sockets again. */
@@ -95,6 +97,8 @@
     private boolean draining;
     private long drainingSince;
     private boolean stopped;
+    /** The listening socket is let go of: what waits in its queue is yet to be taken. */
+    private boolean letting;
 
     /**
      * Holds its part of {@code sockets} descriptors at most; opens nothing yet.
@@ -173,13 +177,13 @@
                 @Override
                 public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
                     // Those who wait are tried again when a connection has ended, or soon; the selector would ask at once.
+                    context.channel().config().setAutoRead(false);
+                    loop.schedule(() -> context.channel().config().setAutoRead(!stopped && sessions.size() < most), AGAIN,
+                        TimeUnit.NANOSECONDS);
                     if (System.nanoTime() - untaken > AGAIN) {
                         untaken = System.nanoTime();
                         Trouble.report("a new connection is not taken", cause);
                     }
-                    context.channel().config().setAutoRead(false);
-                    loop.schedule(() -> context.channel().config().setAutoRead(!stopped && sessions.size() < most), AGAIN,
-                        TimeUnit.NANOSECONDS);
                 }
             })
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 1024, READ))
@@ -282,9 +286,25 @@
      */
     public void stopAccepting(boolean idleToo) {
         stopped = true;
-        // One place less than the bound: at it, a newcomer would end one that waits to be read.
-        takeWhatWaits(idleToo ? most - 1 - sessions.size() : BACKLOG + 1);
-        listening.close();
+        if (own == null) {
+            listening.close();
+            leave(idleToo);
+            return;
+        }
+        // A socket that a selector knows goes on taking connections after its close, until the selector's next pass, and resets them.
+        letting = true;
+        listening.config().setAutoRead(false);
+        listening.deregister().addListener(let -> loop.schedule(() -> {
+            // One place less than the bound: at it, a newcomer would end one that waits to be read.
+            takeWhatWaits(idleToo ? most - 1 - sessions.size() : BACKLOG + 1);
+            listening.close();
+            letting = false;
+            leave(idleToo);
+            node.connectionEnded(open());
+        }, 1, TimeUnit.NANOSECONDS));
+    }
+
+    private void leave(boolean idleToo) {
         if (idleToo) {
             for (Session session : List.copyOf(sessions)) {
                 session.leave();
@@ -292,9 +312,9 @@
         }
     }
 
-    /** How many connections are open; on the loop. */
+    /** How many connections are open, one more while some may wait to be taken; on the loop. */
     public int open() {
-        return sessions.size();
+        return sessions.size() + (letting ? 1 : 0);
     }
 
     /**
@@ -769,7 +789,7 @@
             if (left != null) {
                 left.gone();
             }
-            node.connectionEnded(sessions.size());
+            node.connectionEnded(open());
         }
 
         @Override
--- a/src/test/java/rushpin/node/DescriptorsProcessTest.java
+++ b/src/test/java/rushpin/node/DescriptorsProcessTest.java
@@ -5,9 +5,9 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.stream.Stream;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -29,12 +29,10 @@
         to.getOutputStream().write(HEALTH.getBytes(StandardCharsets.US_ASCII));
     }
 
-    /** Its soft limit on descriptors becomes what it has open now and {@code more}. */
-    private static void room(Process process, int more) throws Exception {
-        try (Stream<Path> open = Files.list(Path.of("/proc", Long.toString(process.pid()), "fd"))) {
-            assertEquals(0, new ProcessBuilder("prlimit", "--pid", Long.toString(process.pid()),
-                "--nofile=" + (open.count() + more) + ":").start().waitFor());
-        }
+    /** From now on no descriptor is given to it that has this number or a greater one; what is open stays open. */
+    private static void room(Process process, int numbers) throws Exception {
+        assertEquals(0, new ProcessBuilder("prlimit", "--pid", Long.toString(process.pid()), "--nofile=" + numbers + ":").start()
+            .waitFor());
     }
 
     /** A newcomer waits and is served later; nothing that is said of it ends the event loop, and with it the process. */
@@ -49,13 +47,19 @@
         while (!status(Peer.read(first)).equals("200")) {
             write(first);
         }
-        room(daemon.process, 0);
-        Socket newcomer = client(port);
+        // Fewer numbers than newcomers: not all can be taken, however many are free below.
+        room(daemon.process, 20);
+        List<Socket> newcomers = new ArrayList<>();
+        for (int i = 0; i < 25; i++) {
+            newcomers.add(client(port));
+        }
         daemon.await("a new connection is not taken: java.io.IOException: Too many open files");
         write(first);
         assertEquals("200", status(Peer.read(first)));
-        room(daemon.process, 100);
-        assertEquals("200", status(Peer.read(newcomer)));
+        room(daemon.process, 1_000);
+        for (Socket newcomer : newcomers) {
+            assertEquals("200", status(Peer.read(newcomer)));
+        }
         daemon.signal("TERM");
         assertEquals(0, daemon.ended());
     }
--- a/src/test/java/rushpin/node/TermPhasesTest.java
+++ b/src/test/java/rushpin/node/TermPhasesTest.java
@@ -128,6 +128,30 @@
         assertEquals(new Count(60, 0), count(clients));
     }
 
+    /** The end is under way when they come: a socket that was only closed would take them, and reset them. */
+    @Test
+    void whoConnectsBehindTheLastAcceptIsAnswered() throws Exception {
+        CompletableFuture<Void> ending = new CompletableFuture<>(), written = new CompletableFuture<>();
+        CompletableFuture<Void> ended = CompletableFuture.runAsync(() -> {
+            node.closeAfterAnswers();
+            node.stopAccepting(true);
+            ending.complete(null);
+            written.join();
+        }, node.loop());
+        ending.join();
+        List<Socket> clients = new ArrayList<>();
+        try {
+            for (int i = 0; i < 3; i++) {
+                clients.add(client(node));
+                send(clients.get(i), HEALTH);
+            }
+        } finally {
+            written.complete(null);
+        }
+        ended.get(60, TimeUnit.SECONDS);
+        assertEquals(new Count(3, 0), count(clients));
+    }
+
     /** More than the loop accepts in one go: the kernel would reset them with the listening socket. */
     @Test
     void whatWaitsInTheKernelsLineIsTakenAndAnswered() throws Exception {
@@ -216,7 +240,10 @@
         go.complete(null);
         List<Socket> clients = idle(1);
         endGraceBehind(() -> { });
-        node.loop().schedule(() -> { }, 1, TimeUnit.NANOSECONDS).get();
+        // The listening socket is let go of in one pass of the loop, and its queue and the idle ones are looked at in a later one.
+        while (node.connections() > 0) {
+            Thread.onSpinWait();
+        }
         try {
             order(clients.get(0), "t-0");
         } catch (SocketException e) {
