--- a/src/main/java/rushpin/accord/log/Settings.java
+++ b/src/main/java/rushpin/accord/log/Settings.java
@@ -60,6 +60,8 @@
         RaftServerConfigKeys.Rpc.setRequestTimeout(keys, nanos(timing.heartbeat()));
         RaftServerConfigKeys.Rpc.setSleepTime(keys, nanos(timing.heartbeat()));
         RaftServerConfigKeys.LeaderElection.setPreVote(keys, true);
+        // A leader that lost its majority lets the others stand first, but it may have the only log that a majority votes for.
+        RaftServerConfigKeys.LeaderElection.setLeaderStepDownWaitTime(keys, most);
 
         RaftServerConfigKeys.Log.setSegmentSizeMax(keys, SizeInBytes.valueOf(SEGMENT));
         RaftServerConfigKeys.Log.setPreallocatedSize(keys, SizeInBytes.valueOf(64 << 10));
--- a/src/test/java/rushpin/accord/log/TransportTest.java
+++ b/src/test/java/rushpin/accord/log/TransportTest.java
@@ -6,9 +6,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.apache.ratis.proto.RaftProtos.AppendEntriesReplyProto;
 import org.apache.ratis.proto.RaftProtos.AppendEntriesReplyProto.AppendResult;
 import org.apache.ratis.proto.RaftProtos.AppendEntriesRequestProto;
@@ -20,6 +22,7 @@
 import org.apache.ratis.proto.RaftProtos.RequestVoteRequestProto;
 import org.apache.ratis.proto.RaftProtos.TermIndexProto;
 import org.apache.ratis.protocol.RaftPeer;
+import org.apache.ratis.server.RaftServerConfigKeys;
 import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
 import org.junit.jupiter.api.Test;
 
@@ -111,6 +114,13 @@
         assertFalse(transport.majority(VOTERS, VOTERS.get(0).getId(), 10));
     }
 
+    /** It may have the only log that a majority votes for; the library would keep it from standing for 10 s. */
+    @Test
+    void aLeaderThatLostItsMajorityMayStandAgainSoon() {
+        assertEquals(Lan.TIMING.electionMost(), RaftServerConfigKeys.LeaderElection.leaderStepDownWaitTime(
+            Settings.of(Path.of("log"), Lan.TIMING)).toLong(TimeUnit.NANOSECONDS));
+    }
+
     @Test
     void nothingGoesOutWhileItIsShut() {
         transport.addRaftPeers(VOTERS);
