--- a/src/main/java/rushpin/node/Allotments.java
+++ b/src/main/java/rushpin/node/Allotments.java
@@ -27,6 +27,7 @@
 
     private final Consumer<GroupSide.Numbered> permits;
     private final Map<String, Of> groups = new TreeMap<>();
+    private boolean isLeaving;
 
     /** {@code permits} hears each one that differs from the one before. */
     Allotments(Consumer<GroupSide.Numbered> permits) {
@@ -38,7 +39,7 @@
         Of of = groups.get(account.group());
         if (of == null) {
             of = new Of();
-            of.allowance = Allowance.none(account.group());
+            of.allowance = isLeaving ? Allowance.none(account.group()).leaving() : Allowance.none(account.group());
             of.told = new GroupSide.Numbered(account.group(), 0, Permit.NONE);
             groups.put(account.group(), of);
             renewed(holding);
@@ -67,6 +68,17 @@
         }
     }
 
+    /** Nothing is opened any more: what is open is closed, and given back. */
+    void leave() {
+        isLeaving = true;
+        groups.values().forEach(of -> turn(of, of.allowance.leaving()));
+    }
+
+    /** Whether nothing is granted, by the fleet's last words. */
+    boolean isBack() {
+        return groups.values().stream().allMatch(of -> of.allowance.isBack());
+    }
+
     private void turn(Of of, Allowance next) {
         of.allowance = next;
         Permit permit = next.permit();
@@ -98,9 +110,12 @@
         return groups.isEmpty();
     }
 
-    /** What pools wanted since this was asked last, and of each group that this process takes part. */
+    /** What pools wanted since this was asked last, and of each group that this process takes part; nothing of one that leaves. */
     List<Report.Need> needs() {
         List<Report.Need> all = new ArrayList<>();
+        if (isLeaving) {
+            return all;
+        }
         groups.forEach((group, of) -> {
             all.add(new Report.Need(group, "", 0, 0));
             of.needs.values().stream().limit(Report.MOST_NEEDS / Math.max(1, groups.size()) - 1).forEach(all::add);
--- a/src/main/java/rushpin/node/Divisions.java
+++ b/src/main/java/rushpin/node/Divisions.java
@@ -53,6 +53,8 @@
     private final Hearing<Look> hearing;
     /** Needs of each process, by its name. */
     private final Map<String, Heard> heard = new HashMap<>();
+    /** Whether there is any. */
+    private volatile boolean hears;
 
     /** Knows nothing; {@code drafts} hears what came of each look, on this task's thread; one a process is heard. */
     Divisions(int mostProcesses, Consumer<List<Command.Divide>> drafts) {
@@ -63,7 +65,8 @@
 
     /** A report has come, sound or not; any thread. */
     void heard(Report report) {
-        if (!report.needs().isEmpty()) {
+        // One that takes part no more says so by a report without needs; where nobody does, there is no task.
+        if (hears || !report.needs().isEmpty()) {
             hearing.heard(report);
         }
     }
@@ -84,9 +87,12 @@
         if (known == null && heard.size() >= mostProcesses) {
             forget(now);
         }
-        if (known != null || heard.size() < mostProcesses) {
+        if (report.needs().isEmpty()) {
+            heard.remove(report.process());
+        } else if (known != null || heard.size() < mostProcesses) {
             heard.put(report.process(), new Heard(report.session(), report.sequence(), report.needs(), now));
         }
+        hears = !heard.isEmpty();
     }
 
     private void forget(long now) {
@@ -96,6 +102,7 @@
     private void read(Look look) {
         heard.keySet().retainAll(look.sessions().values());
         forget(System.nanoTime());
+        hears = !heard.isEmpty();
         List<Command.Divide> all = new ArrayList<>();
         look.groups().forEach(group -> next(look, group).ifPresent(all::add));
         drafts.accept(all);
--- a/src/main/java/rushpin/node/EdgeNode.java
+++ b/src/main/java/rushpin/node/EdgeNode.java
@@ -144,10 +144,10 @@
 
     /**
      * Answers all that was taken; completes at the end of that with how many connections were cut. Others of its fleet hear
-     * meanwhile that this process ends.
+     * meanwhile that this process ends, and after it that its part of groups' connections is free.
      */
     public CompletableFuture<Integer> drain() {
-        CompletableFuture<Void> left = together == null ? CompletableFuture.completedFuture(null) : together.leave();
+        CompletableFuture<Void> left = together == null ? CompletableFuture.completedFuture(null) : together.leave(drained);
         loop.execute(() -> {
             if (desk != null && listener == Operator.Listener.REUSEPORT) {
                 // Alone, it goes on taking those who still come for a moment; else they are the other process's.
--- a/src/main/java/rushpin/node/Together.java
+++ b/src/main/java/rushpin/node/Together.java
@@ -56,6 +56,8 @@
     private static final long LOOK = 1_000_000_000L;
     /** How long an end waits for the session's and the voter's. */
     private static final long LEAVE_MS = 1_500;
+    /** Of that, how long it waits until what it had open to groups of servers is closed and given back, nanoseconds. */
+    private static final long GIVE = 750_000_000L;
 
     private sealed interface Note {
         record Answered(long id, Outcome outcome) implements Note {
@@ -99,6 +101,10 @@
 
         record Leave() implements Note {
         }
+
+        /** All that was taken is answered. */
+        record Drained() implements Note {
+        }
     }
 
     /** A division that is out. */
@@ -133,7 +139,10 @@
     private final Gathered gathered = new Gathered(SessionDesk.MOST_REPORT);
     /** Of the session's reports the last, and when it was sent. */
     private long sequence, reportedAt;
-    private boolean open, leaving;
+    private boolean open;
+    /** The process ends; all is answered, and until when connections may be given back; the session ends. */
+    private boolean ending, drained, leaving;
+    private long giveBy;
     /** Whether this process would make the plans. */
     private boolean stands;
     /** The newest plan that was told, and when. */
@@ -236,10 +245,15 @@
         mailbox.offer(new Note.Change(plan));
     }
 
-    /** Ends the session, and the vote after it; completes when that is done, after 1.5 s in any case. */
-    CompletableFuture<Void> leave() {
+    /**
+     * Ends the session, and the vote after it; completes when that is done, after 1.5 s in any case. Who has a part of groups'
+     * connections needs it until all is answered: then it is closed and given back, and the session ends after it.
+     */
+    CompletableFuture<Void> leave(CompletableFuture<?> answered) {
         mailbox.offer(new Note.Leave());
-        return left.copy().completeOnTimeout(null, LEAVE_MS, TimeUnit.MILLISECONDS);
+        CompletableFuture<?> over = answered.thenRun(() -> mailbox.offer(new Note.Drained()));
+        CompletableFuture<?> from = plan.groups().isEmpty() ? CompletableFuture.completedFuture(null) : over;
+        return from.thenCompose(any -> left.copy().completeOnTimeout(null, LEAVE_MS, TimeUnit.MILLISECONDS));
     }
 
     /** What one client hears; after a change of addresses the one before may still have a word to say. */
@@ -322,15 +336,31 @@
             if (voter != null) {
                 voter.change(change.next());
             }
-        } else if (note instanceof Note.Leave && !leaving) {
-            leaving = true;
-            held.forEach((resource, fence) -> say("yields resource=" + resource + " fence=" + fence));
-            held.clear();
-            holding.leave(now);
+        } else if (note instanceof Note.Leave && !ending) {
+            ending = true;
+            if (allotments.isEmpty()) {
+                endSession(now);
+            } else {
+                List.copyOf(held.keySet()).forEach(resource -> giveUp(resource, now));
+            }
+        } else if (note instanceof Note.Drained && !leaving) {
+            drained = true;
+            giveBy = now + GIVE;
+            allotments.leave();
+            // Whoever divides hears at once that this process takes no part any more.
+            reportedAt = now - REPORT;
+            report(now);
         }
         turn();
     }
 
+    private void endSession(long now) {
+        leaving = true;
+        held.forEach((resource, fence) -> say("yields resource=" + resource + " fence=" + fence));
+        held.clear();
+        holding.leave(now);
+    }
+
     /** With the first account after a second; what can't be told now is old by the time it could be. */
     private void report(long now) {
         if (now - reportedAt < REPORT) {
@@ -366,9 +396,12 @@
     private void turn() {
         long now = System.nanoTime();
         hear(holding.time(now), now);
-        if (voter != null && !leaving) {
+        if (voter != null && !ending) {
             stand(now);
         }
+        if (drained && !leaving && (allotments.isBack() || !open || now - giveBy >= 0)) {
+            endSession(now);
+        }
         if (open) {
             for (Holding.Ask ask : holding.due(now)) {
                 client.ask(ask.id(), ask.command());
@@ -425,6 +458,9 @@
             timer.cancel(false);
         }
         long next = open ? holding.next() : Long.MAX_VALUE;
+        if (drained && !leaving) {
+            next = Math.min(next, giveBy);
+        }
         if (planning != null && holding.fence(Command.PLANNER, now) != 0) {
             next = Math.min(next, lookAt());
             if (open && publishing == 0 && wouldPublish(now) != null) {
--- a/src/main/java/rushpin/pooling/Allowance.java
+++ b/src/main/java/rushpin/pooling/Allowance.java
@@ -73,6 +73,11 @@
         return new Allowance(group, session, lease, asked, word, kept, keptUntil, asked, to, true);
     }
 
+    /** Whether nothing is granted to it, by the word that counts. */
+    public boolean isBack() {
+        return word == null || word.granted() == 0;
+    }
+
     /** What its pools go by. */
     public Permit permit() {
         if (session == 0 || word == null && kept == 0) {
--- a/src/main/java/rushpin/pooling/Divider.java
+++ b/src/main/java/rushpin/pooling/Divider.java
@@ -53,7 +53,8 @@
          */
         public static Sight of(Collection<Long> live, Optional<Budget> inForce, Map<Long, List<Report.Need>> told) {
             Map<Long, List<Report.Need>> members = new TreeMap<>(told);
-            inForce.ifPresent(budget -> budget.shares().forEach(share -> members.putIfAbsent(share.session(), List.of())));
+            inForce.ifPresent(budget -> budget.shares().stream().filter(share -> share.connections() > 0)
+                .forEach(share -> members.putIfAbsent(share.session(), List.of())));
             members.keySet().retainAll(live);
             return new Sight(members);
         }
--- a/src/main/java/rushpin/rig/TogetherFleet.java
+++ b/src/main/java/rushpin/rig/TogetherFleet.java
@@ -120,6 +120,16 @@
             run.ended(System.nanoTime());
         }
 
+        /** Ends it as an operator does; returns when it has ended. */
+        void end() throws Exception {
+            gone();
+            int status = process.stop();
+            run.ended(System.nanoTime());
+            if (status != 0) {
+                throw new IllegalStateException(this + " ended with " + status);
+            }
+        }
+
         /** Stops it as it stands; {@link #wake} lets it go on. The span counts from before the signal to after the other. */
         long stop() throws Exception {
             gone();
--- a/src/test/java/rushpin/node/DivisionsTest.java
+++ b/src/test/java/rushpin/node/DivisionsTest.java
@@ -56,6 +56,18 @@
         }
     }
 
+    /** Who ends says that it takes part no more. */
+    @Test
+    void aReportWithoutNeedsTakesPartNoMore() throws InterruptedException {
+        try (Divisions divisions = new Divisions(2, drafts::add)) {
+            divisions.heard(report(1, 1, 0));
+            divisions.heard(report(2, 1, 0));
+            assertEquals(List.of(1L, 2L), List.copyOf(look(divisions).keySet()));
+            divisions.heard(new Report(2, 2, "n2", "a", SECOND, 0, List.of(), List.of(), List.of(), List.of()));
+            assertEquals(List.of(1L), List.copyOf(look(divisions).keySet()));
+        }
+    }
+
     /** A report that comes late takes nothing back. */
     @Test
     void theNewestReportIsKept() throws InterruptedException {
