--- a/src/main/java/rushpin/rig/BudgetsScenario.java
+++ b/src/main/java/rushpin/rig/BudgetsScenario.java
@@ -172,11 +172,13 @@
             side.apart(cut, Way.THROUGH, Way.THROUGH);
             side.away(stopped, false);
             side.away(cut, false);
-            // A new process under its name has nothing of what the dead one may still have open.
+            List<Member> rest = all.stream().filter(member -> member != dies).toList();
+            side.await("the rest is back", () -> rest.stream().allMatch(side.fleet::isConnected));
+            // A new process under its name has nothing of what the dead one may still have open. It starts when those who were
+            // away have had time for what they had in hand.
             dies.start();
             side.away(dies, false);
             side.trouble(from);
-            side.await("all are back", () -> all.stream().allMatch(side.fleet::isConnected));
             side.await("the dead one's part is given again", () -> side.parts(all) >= side.divided() - 1);
             long open = side.awaitOpen(side.divided() - 2);
             row(doing, from, MOST, tenths((open - from) / 1e9));
