--- a/src/test/java/rushpin/node/OperatorProcessTest.java
+++ b/src/test/java/rushpin/node/OperatorProcessTest.java
@@ -5,16 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.BufferedReader;
-import java.io.InputStreamReader;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -24,39 +19,20 @@
         + "host = \"%1$s.example\"\n";
     @TempDir
     Path folder;
-    private final List<String> said = new ArrayList<>();
-    private BufferedReader lines;
 
-    private Process start(List<String> options, String config, Path operator) throws Exception {
-        Path file = Files.writeString(folder.resolve("config.json"), config);
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
-        command.addAll(options);
-        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "rushpin.cli.Main", "serve"));
-        if (operator != null) {
-            command.addAll(List.of("--operator", operator.toString()));
-        }
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
-        builder.environment().put("GW_CONFIG", file.toString());
-        builder.environment().remove("RUSHPIN_OPERATOR");
-        builder.environment().put("TMPDIR", folder.toString());
-        Process process = builder.start();
-        toClose.add(process::destroyForcibly);
-        lines = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
-        return process;
+    private Daemon daemon(String config, String operator, String... before) throws Exception {
+        Daemon made = new Daemon(folder, config, operator, List.of(before));
+        toClose.add(made);
+        return made;
     }
 
-    private String await(String start) throws Exception {
-        for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-            said.add(line);
-            if (line.startsWith(start)) {
-                return line;
-            }
-        }
-        throw new AssertionError("the process ended before it said '" + start + "': " + said);
+    /** What a process that writes down its classes loaded; for one that has ended. */
+    private List<String> loaded() throws Exception {
+        return Files.readAllLines(folder.resolve("classes.log"));
     }
 
-    private static void hangUp(Process process) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    private String[] writesClasses() {
+        return new String[] {"env", "JDK_JAVA_OPTIONS=-Xlog:class+load:file=" + folder.resolve("classes.log")};
     }
 
     private String ask(int port, String host, String id) throws Exception {
@@ -73,53 +49,49 @@
 
     @Test
     void aFaultyFileEndsTheStartWithEachFault() throws Exception {
-        Path operator = Files.writeString(folder.resolve("rushpin.toml"), "[[pool]]\nnam = \"a\"\nsettings = \"platform\"\n");
-        Process process = start(List.of(), config(), operator);
-        await(operator + " cannot be used");
-        assertTrue(process.waitFor(60, TimeUnit.SECONDS));
-        assertEquals(1, process.exitValue());
-        assertTrue(said.stream().anyMatch(line -> line.contains("line 2: pool[1].nam: is no key here; did you mean name?")),
-            said.toString());
+        Daemon daemon = daemon(config(), "[[pool]]\nnam = \"a\"\nsettings = \"platform\"\n");
+        daemon.await(folder.resolve("rushpin.toml") + " cannot be used");
+        assertEquals(1, daemon.ended());
+        assertTrue(daemon.said.stream().anyMatch(line -> line.contains("line 2: pool[1].nam: is no key here; did you mean name?")),
+            daemon.said.toString());
     }
 
     @Test
     void aReloadIsTheWholeNewFileOrNothing() throws Exception {
         Peer server = peer(m -> m.answer(Peer.ok("", "x")));
-        Path operator = Files.writeString(folder.resolve("rushpin.toml"), String.format(ONE, "a"));
-        Process process = start(List.of(), config(member("s-0", server.address(), "Ready", 0)), operator);
-        String serving = await("serving on");
-        int port = Integer.parseInt(serving.substring(serving.lastIndexOf(':') + 1));
+        Daemon daemon = daemon(config(member("s-0", server.address(), "Ready", 0)), String.format(ONE, "a"));
+        Path operator = folder.resolve("rushpin.toml");
+        int port = daemon.port();
         assertEquals("200", ask(port, "a.example", "t-1"));
         String half = String.format(ONE, "b");
         Files.writeString(operator, half.substring(0, half.length() / 2));
-        hangUp(process);
-        await("the configuration stays as it was");
+        daemon.signal("HUP");
+        daemon.await("the configuration stays as it was");
         assertEquals("200", ask(port, "a.example", "t-2"));
         assertEquals("404", ask(port, "b.example", "t-3"));
         // Two at once, as by two hands.
         Files.writeString(operator, half);
-        hangUp(process);
-        hangUp(process);
-        await("configuration read again");
+        daemon.signal("HUP");
+        daemon.signal("HUP");
+        daemon.await("configuration read again");
         String status = "";
         for (int i = 0; !status.equals("200") && i < 1_000; i++) {
             status = ask(port, "b.example", "u-" + i);
         }
         assertEquals("200", status);
         assertEquals("404", ask(port, "a.example", "t-4"));
-        process.destroy();
-        assertTrue(process.waitFor(60, TimeUnit.SECONDS));
-        assertEquals(0, process.exitValue());
+        daemon.signal("TERM");
+        assertEquals(0, daemon.ended());
     }
 
     /** A feature that is off costs nothing, not even its classes. */
     @Test
     void withoutTheFileNothingOfItIsLoaded() throws Exception {
-        Process process = start(List.of("-Xlog:class+load:file=" + folder.resolve("classes.log")), config(), null);
-        await("serving on");
-        process.destroy();
-        assertTrue(process.waitFor(60, TimeUnit.SECONDS));
-        List<String> loaded = Files.readAllLines(folder.resolve("classes.log"));
+        Daemon daemon = daemon(config(), null, writesClasses());
+        daemon.port();
+        daemon.signal("TERM");
+        assertEquals(0, daemon.ended());
+        List<String> loaded = loaded();
         assertTrue(loaded.stream().anyMatch(line -> line.contains("rushpin.node.PlatformService")));
         for (String off : List.of("rushpin.route.", "rushpin.rig.", "rushpin.config.OperatorFile", "PooledServices",
             "rushpin.budget.Lender", "rushpin.budget.Turns", "rushpin.membership.Claims", "org.tomlj", "picocli")) {
@@ -130,17 +102,14 @@
     /** The same for what is shared with other processes. */
     @Test
     void withoutATableFleetNothingOfItIsLoaded() throws Exception {
-        Path operator = Files.writeString(folder.resolve("rushpin.toml"), String.format(ONE, "a"));
         Peer server = peer(m -> m.answer(Peer.ok("", "x")));
-        Process process = start(List.of("-Xlog:class+load:file=" + folder.resolve("classes.log")),
-            config(member("s-0", server.address(), "Ready", 0)), operator);
-        String serving = await("serving on");
-        assertEquals("200", ask(Integer.parseInt(serving.substring(serving.lastIndexOf(':') + 1)), "a.example", "t-1"));
-        hangUp(process);
-        await("configuration read again");
-        process.destroy();
-        assertTrue(process.waitFor(60, TimeUnit.SECONDS));
-        List<String> loaded = Files.readAllLines(folder.resolve("classes.log"));
+        Daemon daemon = daemon(config(member("s-0", server.address(), "Ready", 0)), String.format(ONE, "a"), writesClasses());
+        assertEquals("200", ask(daemon.port(), "a.example", "t-1"));
+        daemon.signal("HUP");
+        daemon.await("configuration read again");
+        daemon.signal("TERM");
+        assertEquals(0, daemon.ended());
+        List<String> loaded = loaded();
         assertTrue(loaded.stream().anyMatch(line -> line.contains("rushpin.node.PooledServices")));
         for (String off : List.of("rushpin.accord.", "rushpin.peer.", "rushpin.failover.", "org.apache.ratis", "io.grpc.",
             "rushpin.node.Together", "rushpin.node.Voter", "rushpin.node.Witness", "rushpin.node.Gathered",
--- a/src/test/java/rushpin/node/ReloadTest.java
+++ b/src/test/java/rushpin/node/ReloadTest.java
@@ -4,11 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.BufferedReader;
-import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
@@ -57,39 +53,19 @@
     /** Without a handler the signal ends the JVM: this needs a process of its own. */
     @Test
     void aHangupReadsTheFileAgainAndABadFileChangesNothing() throws Exception {
-        Path file = folder.resolve("config.json");
         Peer elsewhere = peer(m -> m.answer(UNCHANGED));
         String config = config();
-        Files.writeString(file, config);
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-cp", System.getProperty("java.class.path"), "rushpin.cli.Main", "serve").redirectErrorStream(true);
-        builder.environment().put("GW_CONFIG", file.toString());
-        Process process = builder.start();
-        toClose.add(process::destroyForcibly);
-        BufferedReader said = new BufferedReader(
-            new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
-        await(said, "serving on");
+        Daemon daemon = new Daemon(folder, config, null);
+        toClose.add(daemon);
+        daemon.port();
         discovery.next();
-        Files.writeString(file, "{");
-        hangUp(process);
-        await(said, "the configuration stays as it was");
-        Files.writeString(file, config.replace(discovery.address(), elsewhere.address()));
-        hangUp(process);
+        Files.writeString(daemon.config, "{");
+        daemon.signal("HUP");
+        daemon.await("the configuration stays as it was");
+        Files.writeString(daemon.config, config.replace(discovery.address(), elsewhere.address()));
+        daemon.signal("HUP");
         elsewhere.next();
-        process.destroy();
-        assertTrue(process.waitFor(60, TimeUnit.SECONDS));
-        assertEquals(0, process.exitValue());
-    }
-
-    private static void await(BufferedReader said, String start) throws IOException {
-        String line = said.readLine();
-        while (line != null && !line.startsWith(start)) {
-            line = said.readLine();
-        }
-        assertNotNull(line, "the process ended before it said: " + start);
-    }
-
-    private static void hangUp(Process process) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+        daemon.signal("TERM");
+        assertEquals(0, daemon.ended());
     }
 }
