--- a/src/main/java/rushpin/rig/TogetherFleet.java
+++ b/src/main/java/rushpin/rig/TogetherFleet.java
@@ -130,8 +130,15 @@
 
         void wake(long stoppedAt) throws Exception {
             // Before it is woken: what it says from then on has to come after.
-            run.stopped(stoppedAt, System.nanoTime());
+            long woken = System.nanoTime();
+            run.stopped(stoppedAt, woken);
+            look();
+            boolean isOver = isConnected(this) && woken - stoppedAt > shape.leaseMs * 1_000_000;
             process.signal("CONT");
+            if (isOver) {
+                // Until it has said so its last word is that it has a session, and whoever looks if all is well would believe it.
+                await(this + " knows that its session is over", () -> hasLost(this, stoppedAt));
+            }
             back();
         }
 
@@ -381,6 +388,12 @@
         return member.isAlive() && session != null && (lost == null || lost.at() < session.at());
     }
 
+    /** Whether its run has lost a session since a moment. */
+    private boolean hasLost(Member member, long since) {
+        AccordEvent.Lost lost = last(said(member.run, AccordEvent.Lost.class));
+        return lost != null && lost.at() >= since;
+    }
+
     /** The process that leads, by the newest word of those that run; null for none. */
     Member leader() {
         return members.stream().filter(member -> member.isAlive() && leads(member) != null)
