--- a/src/test/java/rushpin/node/Daemon.java
+++ b/src/test/java/rushpin/node/Daemon.java
@@ -6,6 +6,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -13,14 +14,19 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
 /** A node as a real process, and what it has said. */
 final class Daemon implements AutoCloseable {
+    private static final String END = "(the end)";
+    private static final int MOST_S = 90;
     final List<String> said = new ArrayList<>();
     final Process process;
     final Path config;
-    private final BufferedReader lines;
+    /** What has not been asked for yet; the end is a line of its own. */
+    private final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
 
     /** Runs {@code serve}, with an operator's file if there is one. */
     Daemon(Path folder, String config, String operator) throws IOException {
@@ -41,7 +47,32 @@
         builder.environment().remove("RUSHPIN_OPERATOR");
         builder.environment().put("TMPDIR", folder.toString());
         process = builder.start();
-        lines = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        // A read of a process that says nothing more can't be interrupted: it would outlast every time limit.
+        Thread reader = new Thread(this::read, "lines of " + process.pid());
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private void read() {
+        try (BufferedReader from = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+            from.lines().forEach(lines::add);
+        } catch (IOException | UncheckedIOException e) {
+            lines.add("(unreadable: " + e + ")");
+        }
+        lines.add(END);
+    }
+
+    /** The next line, null at its end. */
+    private String next() throws InterruptedException {
+        String line = lines.poll(MOST_S, TimeUnit.SECONDS);
+        if (line == null) {
+            throw new AssertionError("the process says nothing more: " + said);
+        } else if (line.equals(END)) {
+            lines.add(END);
+            return null;
+        }
+        said.add(line);
+        return line;
     }
 
     /** One pool with the platform's settings, and lines of the table {@code process}. */
@@ -56,9 +87,8 @@
         }
     }
 
-    String await(String start) throws IOException {
-        for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-            said.add(line);
+    String await(String start) throws InterruptedException {
+        for (String line = next(); line != null; line = next()) {
             if (line.startsWith(start)) {
                 return line;
             }
@@ -67,15 +97,15 @@
     }
 
     /** The port of its console, which it says before it serves. */
-    int console() throws IOException {
+    int console() throws InterruptedException {
         return port("console on");
     }
 
-    int port() throws IOException {
+    int port() throws InterruptedException {
         return port("serving on");
     }
 
-    private int port(String start) throws IOException {
+    private int port(String start) throws InterruptedException {
         String line = await(start);
         return Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
     }
@@ -85,9 +115,9 @@
     }
 
     /** What it said to its end. */
-    List<String> rest() throws IOException {
-        for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-            said.add(line);
+    List<String> rest() throws InterruptedException {
+        while (next() != null) {
+            // All that there is.
         }
         return said;
     }
