--- a/src/test/java/rushpin/accord/ConnectionsExploreTest.java
+++ b/src/test/java/rushpin/accord/ConnectionsExploreTest.java
@@ -9,12 +9,14 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import rushpin.accord.Connections.Fault;
 import rushpin.accord.Connections.Setting;
 import rushpin.accord.Connections.Trouble;
 
 /** Never more connections than the number, in every order; {@code -Drushpin.explore=20} goes through twenty times as many states. */
+@Tag("long")
 class ConnectionsExploreTest {
     private static final int MORE = Integer.getInteger("rushpin.explore", 1);
 
--- a/src/test/java/rushpin/accord/ExploreTest.java
+++ b/src/test/java/rushpin/accord/ExploreTest.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Supplier;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import rushpin.accord.Fleet.Fault;
 import rushpin.accord.Fleet.Setting;
@@ -20,6 +21,7 @@
  * Sessions, leases, fences and hand-over in every order, and the founding. {@code -Drushpin.explore=20} goes through twenty
  * times as many states, with all settings of clocks.
  */
+@Tag("long")
 class ExploreTest {
     private static final int MORE = Integer.getInteger("rushpin.explore", 1);
     private static final int[] TWO_WANT_ONE = {1, 1}, THREE_WANT_TWO = {1, 3, 2};
--- a/src/test/java/rushpin/accord/log/ReplicaTest.java
+++ b/src/test/java/rushpin/accord/log/ReplicaTest.java
@@ -19,6 +19,7 @@
 import org.apache.ratis.proto.RaftProtos.RaftRpcRequestProto;
 import org.apache.ratis.proto.RaftProtos.RequestVoteRequestProto;
 import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -27,6 +28,7 @@
 import rushpin.accord.Outcome;
 
 /** Voters of one process over a net in memory. */
+@Tag("long")
 class ReplicaTest {
     @TempDir
     Path root;
--- a/src/test/java/rushpin/model/FleetModelTest.java
+++ b/src/test/java/rushpin/model/FleetModelTest.java
@@ -7,6 +7,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -14,6 +15,7 @@
 import rushpin.gateway.Ports;
 
 /** The fleet in simulated time, and what its judge finds of modules that break the rules. */
+@Tag("long")
 class FleetModelTest {
     /** All kinds of trouble in 20 s. */
     private static Map<String, String> rough() {
--- a/src/test/java/rushpin/node/FleetProcessTest.java
+++ b/src/test/java/rushpin/node/FleetProcessTest.java
@@ -12,10 +12,12 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 /** A daemon as a real process: started twice, ended early, killed hard. */
+@Tag("long")
 class FleetProcessTest extends Stage {
     @TempDir
     Path folder;
--- a/src/test/java/rushpin/node/KilledProcessTest.java
+++ b/src/test/java/rushpin/node/KilledProcessTest.java
@@ -13,10 +13,12 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Real processes with a record of use, killed or told to end at the worst moments. */
+@Tag("long")
 class KilledProcessTest extends Stage {
     private static final String STATE = Daemon.operator("state = \"state\"\n");
     @TempDir
--- a/src/test/java/rushpin/node/OperatorProcessTest.java
+++ b/src/test/java/rushpin/node/OperatorProcessTest.java
@@ -10,10 +10,12 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 /** The operator's file in a real process: at its start, and by signals while it serves. */
+@Tag("long")
 class OperatorProcessTest extends Stage {
     private static final String ONE = "[[pool]]\nname = \"%1$s\"\nsettings = \"platform\"\n[[route]]\npool = \"%1$s\"\n"
         + "host = \"%1$s.example\"\n";
--- a/src/test/java/rushpin/node/PlanProcessTest.java
+++ b/src/test/java/rushpin/node/PlanProcessTest.java
@@ -13,6 +13,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -21,6 +22,7 @@
 import rushpin.node.Fellows.Said;
 
 /** Six real processes, two in each of three zones, with servers there: requests go where the plan says. */
+@Tag("long")
 @Timeout(300)
 class PlanProcessTest extends Stage {
     private static final int LEASE = 2_000, EFFECT = 500, SENDS = 200;
--- a/src/test/java/rushpin/node/TogetherProcessTest.java
+++ b/src/test/java/rushpin/node/TogetherProcessTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -16,6 +17,7 @@
 import rushpin.node.Fellows.Said;
 
 /** Five real processes, three of them voters, with faults between them. */
+@Tag("long")
 @Timeout(300)
 class TogetherProcessTest extends Stage {
     private static final int LEASE = 3_000, EFFECT = 500;
--- a/src/test/java/rushpin/rig/BudgetsProcessTest.java
+++ b/src/test/java/rushpin/rig/BudgetsProcessTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import rushpin.judge.Connections;
@@ -16,6 +17,7 @@
  * Five real processes that divide what a group of servers takes, under more load than that: one killed, one cut off, one
  * stopped for longer than its lease, all at once, and the number lowered. The servers never have more open than it.
  */
+@Tag("long")
 @Timeout(300)
 class BudgetsProcessTest {
     private static final long SEED = 7;
--- a/src/test/java/rushpin/study/StudyTest.java
+++ b/src/test/java/rushpin/study/StudyTest.java
@@ -15,6 +15,7 @@
 import java.util.jar.JarOutputStream;
 import java.util.stream.Stream;
 import javax.tools.ToolProvider;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import rushpin.gateway.Gateway;
@@ -23,6 +24,7 @@
 import rushpin.model.Day;
 
 /** Choices from words, files and other builds, and what a study makes of them. */
+@Tag("long")
 class StudyTest {
     private static final Path SETTINGS = Path.of("deploy/pools/lookups.json");
     @TempDir
