--- a/src/test/java/rushpin/accord/log/ReplicaTest.java
+++ b/src/test/java/rushpin/accord/log/ReplicaTest.java
@@ -27,6 +27,7 @@
 import org.apache.ratis.server.leader.FollowerInfo;
 import org.apache.ratis.server.leader.LeaderState;
 import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -35,6 +36,7 @@
 import rushpin.accord.Outcome;
 
 /** Voters of one process over a net in memory. */
+@Tag("long")
 class ReplicaTest {
     @TempDir
     Path root;
--- a/src/test/java/rushpin/rig/BudgetsProcessTest.java
+++ b/src/test/java/rushpin/rig/BudgetsProcessTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import rushpin.judge.Connections;
@@ -18,6 +19,7 @@
  * for longer than its lease, all at once, and the number lowered; one that ends; one that is cut off from the others alone.
  * The servers never have more open than the number.
  */
+@Tag("long")
 @Timeout(300)
 class BudgetsProcessTest {
     private static final long SEED = 7;
