--- a/src/main/java/rushpin/failover/Planner.java
+++ b/src/main/java/rushpin/failover/Planner.java
@@ -1,10 +1,12 @@
 package rushpin.failover;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import rushpin.accord.Picture;
 import rushpin.accord.Plan;
 
 /**
@@ -38,12 +40,30 @@
         if (ways.isEmpty() || !Plan.isWhole(ways, nextMarks)) {
             return Optional.empty();
         }
-        boolean stands = nextMarks.equals(inForce.marks()) && difference(inForce.ways(), ways) < limits.least();
+        boolean stands = nextMarks.equals(inForce.marks()) && difference(inForce.ways(), ways) < limits.least()
+            && !isWayOutWider(inForce.ways(), ways, sight.picture(), limits);
         return stands ? Optional.empty() : Optional.of(new Draft(ways, nextMarks));
     }
 
     /** What is spare has to differ by so many times as much as a part, for a plan to be worth it. */
     private static final int SPARE_TELLS = 10;
+    /** Where it is needed now, so much more of a way is worth a plan; less is not told sooner for that. */
+    private static final int WIDER = 100;
+
+    /**
+     * Whether a zone that one of its own processes at least sees fail has more spare than is said. Room that is learned grows
+     * with what was borne: only who is told of it step by step gets as far as it goes. This moves no part of a plan.
+     */
+    private static boolean isWayOutWider(List<Plan.Way> said, List<Plan.Way> ways, Picture picture, Limits limits) {
+        Map<List<String>, Integer> spare = new HashMap<>();
+        said.forEach(way -> spare.put(List.of(way.from(), way.of()), spare(way)));
+        return ways.stream().anyMatch(way -> picture.own(way.from(), "").filter(view -> view.mostFailed() >= limits.bad()).isPresent()
+            && spare(way) - spare.getOrDefault(List.of(way.from(), way.of()), 0) >= WIDER);
+    }
+
+    private static int spare(Plan.Way way) {
+        return way.parts().stream().mapToInt(Plan.Part::spare).sum();
+    }
 
     /** The greatest difference between what two plans send from one zone to one other, of one class. */
     static int difference(List<Plan.Way> one, List<Plan.Way> other) {
@@ -55,6 +75,8 @@
                 parts.merge(List.of(way.from(), way.of(), part.to()), part.thousandths(), Integer::sum);
                 parts.merge(List.of(way.from(), way.of(), part.to(), "+"), part.spare() / SPARE_TELLS, Integer::sum);
             });
+            // Many small ways out together are one that tells.
+            parts.merge(List.of(way.from(), way.of(), "+"), spare(way) / SPARE_TELLS, Integer::sum);
         }
         for (Plan.Way way : other) {
             others.add(List.of(way.from(), way.of()));
@@ -62,6 +84,7 @@
                 parts.merge(List.of(way.from(), way.of(), part.to()), -part.thousandths(), Integer::sum);
                 parts.merge(List.of(way.from(), way.of(), part.to(), "+"), -(part.spare() / SPARE_TELLS), Integer::sum);
             });
+            parts.merge(List.of(way.from(), way.of(), "+"), -(spare(way) / SPARE_TELLS), Integer::sum);
         }
         return ways.equals(others) ? parts.values().stream().mapToInt(Math::abs).max().orElse(0) : Plan.WHOLE;
     }
--- a/src/test/java/rushpin/failover/PlannerTest.java
+++ b/src/test/java/rushpin/failover/PlannerTest.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import rushpin.accord.Plan;
 import rushpin.accord.Report;
@@ -122,4 +124,45 @@
         assertEquals(1, scene.moves, () -> scene.plan.toString());
         assertFalse(scene.plan.ways().isEmpty());
     }
+
+    private int wayOut(Scene scene, String from) {
+        return scene.plan.ways().stream().filter(way -> way.from().equals(from)).flatMap(way -> way.parts().stream())
+            .mapToInt(Plan.Part::spare).sum();
+    }
+
+    private static Report told(Report report, List<Report.Seen> seen, List<Report.Entered> entered) {
+        return new Report(1, report.sequence(), report.process(), report.zone(), report.span(), 0, seen, report.stocks(), entered);
+    }
+
+    /** The first plan is made before anything enters; each of five others bears a little more than its own. */
+    @Test
+    void whatManyBearALittleOfIsToldAsSoonAsItIsLearned() {
+        Scene few = new Scene(Limits.USUAL, 2, 6, List.of("book"), List.of(List.of("a", "b", "c"), List.of("d", "e", "f")));
+        few.way = report -> told(report, List.of(), List.of());
+        few.turns(2, CALM);
+        assertEquals(0, wayOut(few, "a"), () -> few.plan.toString());
+        few.way = report -> report;
+        few.turns(10, CALM);
+        assertTrue(wayOut(few, "a") >= 400, () -> few.plan.toString());
+    }
+
+    @Test
+    void aWayOutThatIsNeededGrowsWithEachStepOfWhatIsLearned() {
+        Scene few = new Scene(Limits.USUAL, 2, 6, List.of("book"), List.of(List.of("a", "b", "c")));
+        few.turns(10, CALM);
+        int before = wayOut(few, "b"), moves = few.moves;
+        // Some more is known to be borne now: too little for a plan, but where it is needed.
+        few.sees = sight -> {
+            Map<String, Double> more = new HashMap<>(sight.capacity());
+            more.replaceAll((zone, can) -> can * 1.08);
+            return new Sight(sight.picture(), more);
+        };
+        few.turns(5, CALM);
+        assertEquals(moves, few.moves, () -> few.plan.toString());
+        few.way = report -> !report.process().equals("b-0") ? report : told(report, report.seen().stream()
+            .map(seen -> new Report.Seen(seen.zone(), seen.of(), seen.sent(), 0, seen.sent(), 0, 0)).toList(), report.entered());
+        few.turns(5, CALM);
+        assertTrue(wayOut(few, "b") >= before + 100, () -> before + " " + few.plan);
+        assertTrue(few.plan.marks().isEmpty() && few.part("b", "b") >= 990, () -> few.plan.toString());
+    }
 }
