--- a/src/test/java/rushpin/accord/Explore.java
+++ b/src/test/java/rushpin/accord/Explore.java
@@ -10,9 +10,9 @@
  * Every order of what may happen, breadth first: worlds that differ only in how far they are from the same future count
  * once, by a fingerprint of 64 bits. Stops at the first world that breaks a rule, which is one of the nearest.
  */
-final class Explore<W> {
+public final class Explore<W> {
     /** What may happen next in a world, and what it may not be. */
-    interface Rules<W> {
+    public interface Rules<W> {
         /** Hands on each world that can be next, with what happened; always in the same order. */
         void next(W world, Step<W> step);
 
@@ -24,7 +24,7 @@
     }
 
     /** One thing that may happen. */
-    interface Step<W> {
+    public interface Step<W> {
         void to(W world, Supplier<String> what);
     }
 
@@ -36,7 +36,7 @@
      * @param whole whether there was no bound on the way
      * @param broken the rule, or null; {@code path} leads there
      */
-    record Seen(long states, int depth, boolean whole, String broken, List<String> path, long millis) {
+    public record Seen(long states, int depth, boolean whole, String broken, List<String> path, long millis) {
         @Override
         public String toString() {
             return String.format("%,d states, depth %d%s, %.1f s", states, depth, whole ? ", all" : "", millis / 1e3)
@@ -63,7 +63,7 @@
     }
 
     /** Goes through all from these on, up to bounds of depth and of worlds. */
-    static <W> Seen all(List<W> first, Rules<W> rules, int depth, long most) {
+    public static <W> Seen all(List<W> first, Rules<W> rules, int depth, long most) {
         return new Explore<>(rules).run(first, depth, most);
     }
 
@@ -169,16 +169,16 @@
     }
 
     /** Folds values into a fingerprint. */
-    static final class Print {
+    public static final class Print {
         private long sum = 0x9E3779B97F4A7C15L;
 
-        Print add(long value) {
+        public Print add(long value) {
             sum = (sum ^ value) * 0xFF51AFD7ED558CCDL;
             sum ^= sum >>> 32;
             return this;
         }
 
-        long sum() {
+        public long sum() {
             return sum * 0xC4CEB9FE1A85EC53L;
         }
     }
