--- a/src/main/java/rushpin/authority/Copy.java
+++ b/src/main/java/rushpin/authority/Copy.java
@@ -247,7 +247,8 @@
 
     /** When {@link #time} has something to do that nothing else would bring about. */
     public long next() {
-        long next = Math.min(send == null ? NEVER : send.begun + rules.effect() + 1, look == null ? NEVER : look.begun + rules.effect() + 1);
+        long next = Math.min(send == null ? NEVER : send.begun + rules.effect() + 1,
+            look == null ? NEVER : look.begun + rules.effect() + 1);
         return to == null ? next : Math.min(next, passing == NEVER ? Math.max(clear, ordersFrom) : passing + rules.effect());
     }
 
@@ -413,7 +414,9 @@
         return fence != 0 && isKnown && passing == NEVER && (rules.strict() || now < asOf + rules.age());
     }
 
-    /** What follows stands by itself so that it can be left out on purpose, to see that it is needed. Whether the servers' answer is to become the copy. */
+    // What follows stands by itself so that it can be left out on purpose, to see that it is needed.
+
+    /** Whether the servers' answer is to become the copy. */
     boolean mayBeKept(Out out) {
         return fence != 0 && out.fence == fence && (!rules.strict() || out.begun >= clear && !out.spoiled);
     }
--- a/src/test/java/rushpin/authority/Hot.java
+++ b/src/test/java/rushpin/authority/Hot.java
@@ -6,6 +6,9 @@
 import java.util.SplittableRandom;
 import rushpin.accord.Explore;
 import rushpin.accord.Terms;
+import rushpin.judge.Histories;
+import rushpin.judge.Histories.Kind;
+import rushpin.judge.Histories.Operation;
 
 /**
  * Processes, one object, its servers and the log's word of it, in small whole time: a world for {@link Explore}. A step of real
@@ -65,8 +68,8 @@
      * @param orders most in all; so are moves out of being free, hand-overs and look-ups that wait
      * @param says whether the servers say what the object is after an order
      */
-    record Setting(int many, boolean strict, boolean isHeld, int far, int asleep, int orders, int moves, int handOvers, int lookUps, boolean says,
-        int trouble, Set<Trouble> troubles, Set<Fault> faults) {
+    record Setting(int many, boolean strict, boolean isHeld, int far, int asleep, int orders, int moves, int handOvers, int lookUps,
+        boolean says, int trouble, Set<Trouble> troubles, Set<Fault> faults) {
         boolean has(Fault fault) {
             return faults.contains(fault);
         }
@@ -174,7 +177,7 @@
     private final int[] ran;
     private final long[] sent;
     /** Of each order whether its client heard that it has not run, or whether a holder has taken it. */
-    private int refused, taken, ranItself;
+    private int refused, taken, ranItself, acknowledged;
     private int floor, atStepStart, atStepBefore;
     private final int[] floors;
     private int orders, moves, handOvers, lookUps, trouble;
@@ -207,6 +210,7 @@
         refused = from.refused;
         taken = from.taken;
         ranItself = from.ranItself;
+        acknowledged = from.acknowledged;
         floor = from.floor;
         atStepStart = from.atStepStart;
         atStepBefore = from.atStepBefore;
@@ -364,6 +368,7 @@
                     broken = "an order is said to have run, and it has not";
                 }
                 floor = Math.max(floor, ran[order]);
+                acknowledged |= 1 << order;
             } else if (act instanceof Act.Refused<Integer> no && no.id() < REPEATED) {
                 refused |= 1 << no.id();
                 if ((ranItself >> no.id() & 1) != 0) {
@@ -590,6 +595,7 @@
         } else {
             // The client of an order past the holder hears of it at once.
             floor = Math.max(floor, version);
+            acknowledged |= 1 << id;
         }
     }
 
@@ -632,7 +638,8 @@
 
     private long print() {
         Explore.Print print = new Explore.Print();
-        print.add(broken == null ? 0 : broken.hashCode()).add(holder).add(holder == NOBODY || holderStart == starts[holder] ? 0 : 1 + formerEnd - logTime).add(fence)
+        print.add(broken == null ? 0 : broken.hashCode()).add(holder)
+            .add(holder == NOBODY || holderStart == starts[holder] ? 0 : 1 + formerEnd - logTime).add(fence)
             .add(passedFrom).add(version).add(floor).add(orders).add(moves)
             .add(handOvers).add(lookUps).add(trouble).add(refused).add(taken).add(ranItself).add(logRate);
         if (!set.strict) {
@@ -677,6 +684,37 @@
         return next.get(at);
     }
 
+    /** What clients saw on the way through worlds: an answer from each copy that may answer, in each, and all orders. */
+    static List<Operation> history(List<Hot> worlds) {
+        List<Operation> history = new ArrayList<>();
+        Hot last = worlds.get(worlds.size() - 1);
+        long[] from = new long[last.set.orders];
+        int begun = 0, ended = 0;
+        for (int i = 0; i < worlds.size(); i++) {
+            Hot world = worlds.get(i);
+            for (; begun < last.set.orders - world.orders; begun++) {
+                from[begun] = 10L * i - 2;
+            }
+            for (int id = 0; id < begun; id++) {
+                if ((world.acknowledged & ~ended & 1 << id) != 0) {
+                    history.add(new Operation(Kind.SET, last.ran[id], from[id], 10L * i - 1));
+                }
+            }
+            ended |= world.acknowledged;
+            for (int p = 0; p < last.set.many; p++) {
+                if (world.answers(p)) {
+                    history.add(new Operation(Kind.LOOKED, world.copies[p].body(), 10L * i, 10L * i + 1));
+                }
+            }
+        }
+        for (int id = 0; id < begun; id++) {
+            if ((ended >> id & 1) == 0 && last.ran[id] != 0) {
+                history.add(new Operation(Kind.MAY_HAVE_SET, last.ran[id], from[id], Histories.NEVER));
+            }
+        }
+        return history;
+    }
+
     /** Nothing is lost or late any more: whether some process answers from its copy in the end, and with what is true. */
     boolean comesToRest(int rounds) {
         Hot[] now = {this};
--- a/src/test/java/rushpin/authority/HotExploreTest.java
+++ b/src/test/java/rushpin/authority/HotExploreTest.java
@@ -14,8 +14,13 @@
 import rushpin.authority.Hot.Fault;
 import rushpin.authority.Hot.Setting;
 import rushpin.authority.Hot.Trouble;
+import rushpin.judge.Histories;
+import rushpin.judge.Histories.Verdict;
 
-/** One holder that answers, answers that are linearizable or of an age, in every order; {@code -Drushpin.explore=20} sees twenty times as much. */
+/**
+ * One holder that answers, answers that are linearizable or of an age, in every order; {@code -Drushpin.explore=20} sees twenty
+ * times as much.
+ */
 class HotExploreTest {
     private static final int MORE = Integer.getInteger("rushpin.explore", 1);
     /** Clocks of A, B, C and of the log, fast where a bit is set. */
@@ -39,7 +44,8 @@
         holds("2, A far, held, 1 order, a move", set(2, true, 1, 1, 1, 0, none), 30_000);
         holds("2, held, handed over, 2 orders", set(2, true, 0, 2, 0, 1, none), 40_000);
         holds("2, A asleep, handed over, 1 order, a move", new Setting(2, true, true, 0, 1, 1, 1, 1, 1, true, 0, none, sound), 30_000);
-        holds("2, held, 2 orders, 2 look-ups, servers don't say", new Setting(2, true, true, 0, 0, 2, 0, 0, 2, false, 0, none, sound), 40_000);
+        holds("2, held, 2 orders, 2 look-ups, servers don't say",
+            new Setting(2, true, true, 0, 0, 2, 0, 0, 2, false, 0, none, sound), 40_000);
         holds("3, all far, a move, a hand-over, 2 orders", set(3, true, 7, 2, 1, 1, none), 30_000);
         holds("2, bounded, B far, 2 orders, handed over", new Setting(2, false, true, 2, 0, 2, 0, 1, 1, true, 0, none, sound), 30_000);
         for (Trouble trouble : Trouble.values()) {
@@ -55,18 +61,58 @@
         for (int walk = 0; walk < 600 * MORE; walk++) {
             boolean strict = walk % 4 != 0;
             Set<Trouble> troubles = strict ? EnumSet.allOf(Trouble.class) : EnumSet.of(Trouble.CRASH, Trouble.REPEAT);
-            Setting set = new Setting(3, strict, walk % 2 == 0, chance.nextInt(8), chance.nextInt(8), 8, 3, 4, 4, chance.nextBoolean(), 6, troubles, Set.of());
+            Setting set = new Setting(3, strict, walk % 2 == 0, chance.nextInt(8), chance.nextInt(8), 8, 3, 4, 4, chance.nextBoolean(), 6,
+                troubles, Set.of());
             Hot world = Hot.first(set, chance.nextInt(16)).get(0);
             List<String> path = new ArrayList<>(List.of(set.toString()));
+            List<Hot> worlds = new ArrayList<>(List.of(world));
             for (int i = 0; i < 80; i++) {
                 world = Hot.some(world, chance, path);
+                worlds.add(world);
                 assertNull(Hot.RULES.broken(world), () -> "seed " + seed + ": " + String.join("\n", path));
             }
+            if (strict) {
+                assertEquals(Verdict.LINEARIZABLE, Histories.judge(0, Hot.history(worlds), 100_000).verdict(),
+                    () -> "seed " + seed + ": " + String.join("\n", path) + "\n" + Hot.history(worlds));
+            }
             Hot last = world;
             assertTrue(last.comesToRest(60), () -> "seed " + seed + ": " + String.join("\n", path) + "\n" + last);
         }
     }
 
+    /** What the world counts as older than an answer before, the judge sees in what clients recorded. */
+    @Test
+    void theJudgeSeesAHolderThatForgetsItsOrders() {
+        SplittableRandom chance = new SplittableRandom(3);
+        Setting set = new Setting(2, true, true, 0, 0, 8, 1, 1, 4, true, 0, Set.of(), EnumSet.of(Fault.ORDER_PAST_THE_COPY));
+        int broken = 0;
+        for (int walk = 0; walk < 500; walk++) {
+            List<Hot> worlds = new ArrayList<>(Hot.first(set, 0));
+            for (int i = 0; i < 40 && Hot.RULES.broken(worlds.get(i)) == null; i++) {
+                worlds.add(Hot.some(worlds.get(i), chance, new ArrayList<>()));
+            }
+            boolean isBroken = Hot.RULES.broken(worlds.get(worlds.size() - 1)) != null;
+            Verdict verdict = Histories.judge(0, Hot.history(worlds), 100_000).verdict();
+            broken += verdict == Verdict.BROKEN ? 1 : 0;
+            int at = walk;
+            // Look-ups past the copies are not in the record, so the other way round it need not be.
+            assertTrue(isBroken || verdict == Verdict.LINEARIZABLE, () -> "walk " + at + ": " + Hot.history(worlds));
+        }
+        assertTrue(broken > 3, "broken " + broken);
+    }
+
+    /** Without orders nothing is old, but two would answer. */
+    @Test
+    void twoThatAnswerAreFound() {
+        for (Fault fault : new Fault[] {Fault.LEASE_NOT_LOOKED_AT, Fault.LEASE_FROM_THE_ANSWER}) {
+            int far = fault == Fault.LEASE_FROM_THE_ANSWER ? 1 : 0, asleep = fault == Fault.LEASE_NOT_LOOKED_AT ? 1 : 0;
+            Setting set = new Setting(2, true, true, far, asleep, 0, 1, 0, 2, true, 0, Set.of(), EnumSet.of(fault));
+            Explore.Seen seen = Explore.all(Hot.first(set, 0b110), Hot.RULES, 99, 400_000);
+            System.out.printf("| %s, no orders | %s | %,d | %d |%n", fault.text, seen.broken(), seen.states(), seen.path().size() - 2);
+            assertEquals("two answer from their copies", seen.broken(), seen::toString);
+        }
+    }
+
     /** Whether the rules see anything: each fault is found. */
     @Test
     void eachFaultIsFound() {
--- a/src/test/java/rushpin/judge/HistoriesTest.java
+++ b/src/test/java/rushpin/judge/HistoriesTest.java
@@ -108,7 +108,8 @@
             boolean is = byAllRows(0, all);
             seen[is ? 1 : 0]++;
             int at = seed;
-            assertEquals(is ? Verdict.LINEARIZABLE : Verdict.BROKEN, Histories.judge(0, all, 10_000).verdict(), () -> "seed " + at + ": " + all);
+            assertEquals(is ? Verdict.LINEARIZABLE : Verdict.BROKEN, Histories.judge(0, all, 10_000).verdict(),
+                () -> "seed " + at + ": " + all);
         }
         assertEquals(true, seen[0] > 300 && seen[1] > 300, () -> "drawn " + seen[0] + " broken, " + seen[1] + " not");
     }
