--- a/src/test/java/rushpin/ArchitectureTest.java
+++ b/src/test/java/rushpin/ArchitectureTest.java
@@ -34,6 +34,7 @@
         ROOMS.put("peer", List.of("accord", "net"));
         ROOMS.put("failover", List.of("accord"));
         ROOMS.put("pooling", List.of("accord"));
+        ROOMS.put("authority", List.of("accord"));
         ROOMS.put("config", List.of("gateway", "membership", "route", "net", "traffic", "accord", "failover"));
         ROOMS.put("node", List.of("gateway", "membership", "route", "budget", "net", "config", "quota",
             "lifecycle", "console", "traffic", "accord", "peer", "failover", "pooling"));
@@ -74,16 +75,23 @@
     void theAgreementLibraryIsKnownInOnePlace() {
         noClasses().that().resideOutsideOfPackage("rushpin.accord.log..")
             .should().dependOnClassesThat().resideInAPackage("org.apache.ratis..").check(ALL);
-        noClasses().that().resideInAnyPackage("rushpin.accord", "rushpin.failover..", "rushpin.pooling..")
+        noClasses().that().resideInAnyPackage("rushpin.accord", "rushpin.failover..", "rushpin.pooling..", "rushpin.authority..")
             .should().dependOnClassesThat().resideInAPackage("rushpin.accord.log..").check(ALL);
     }
 
+    /** The sketches' library too; what it knows of objects is told in our own values. */
+    @Test
+    void theSketchIsKnownInOnePlace() {
+        noClasses().that().doNotHaveFullyQualifiedName("rushpin.authority.finding.Finder")
+            .should().dependOnClassesThat().resideInAPackage("org.apache.datasketches..").check(ALL);
+    }
+
     /** Time, events and chance come as arguments. Addresses are values: an InetSocketAddress opens nothing. */
     @Test
     void decidersDoNoIo() {
         noClasses().that().resideInAnyPackage("rushpin.gateway..", "rushpin.route..", "rushpin.budget..",
             "rushpin.membership..", "rushpin.quota..", "rushpin.lifecycle..", "rushpin.model..", "rushpin.fit..",
-            "rushpin.accord", "rushpin.failover..", "rushpin.pooling..")
+            "rushpin.accord", "rushpin.failover..", "rushpin.pooling..", "rushpin.authority..")
             .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.nio", "java.nio.channels..",
                 "java.nio.file..", "java.util.concurrent..")
             .orShould().dependOnClassesThat().haveNameMatching("java\\.io\\.(File|.*Stream|.*Reader|.*Writer).*")
@@ -96,7 +104,8 @@
     /** A wall clock that is set changes nothing between processes. */
     @Test
     void whatIsSharedReadsNoWallClock() {
-        noClasses().that().resideInAnyPackage("rushpin.accord..", "rushpin.peer..", "rushpin.failover..")
+        noClasses().that().resideInAnyPackage("rushpin.accord..", "rushpin.peer..", "rushpin.failover..",
+                "rushpin.authority..")
             .or().haveNameMatching("rushpin\\.node\\.(Together|Voter|Planning|Gathered|Standing|Witness)(\\$.*)?")
             .should().callMethod(System.class, "currentTimeMillis")
             .orShould().dependOnClassesThat().resideInAPackage("java.time..")
