--- a/src/test/java/rushpin/ArchitectureTest.java
+++ b/src/test/java/rushpin/ArchitectureTest.java
@@ -79,6 +79,13 @@
             .should().dependOnClassesThat().resideInAPackage("rushpin.accord.log..").check(ALL);
     }
 
+    /** The sketches' library too; what it knows of objects is told in our own values. */
+    @Test
+    void theSketchIsKnownInOnePlace() {
+        noClasses().that().doNotHaveFullyQualifiedName("rushpin.authority.finding.Finder")
+            .should().dependOnClassesThat().resideInAPackage("org.apache.datasketches..").check(ALL);
+    }
+
     /** Time, events and chance come as arguments. Addresses are values: an InetSocketAddress opens nothing. */
     @Test
     void decidersDoNoIo() {
