--- a/src/main/java/rushpin/gateway/Gateway.java
+++ b/src/main/java/rushpin/gateway/Gateway.java
@@ -52,6 +52,8 @@
     /** A connection that broke tells nothing of load: as slow it would close the loop on all other work. */
     private static final Set<Outcome> NO_SIGN_OF_LOAD =
         EnumSet.of(Outcome.RESET, Outcome.CANCELLED, Outcome.NOT_SENT);
+    /** A process may be held up for so long between a decision and the write that follows from it. */
+    private static final long HELD_UP = 160 * MS;
     /** For how long an empty list may be a slip, and what is queued waits for the next one. */
     private static final long EMPTY_SPAN = SECOND / 4;
     /** The values of a load report that tell how busy a server is; their life in seconds; how many stay. */
@@ -1246,7 +1248,18 @@
         backend.outstanding.add(job);
         inFlight++;
         if (inFlight >= control.level) { control.bound = true; }
-        out.send(job.request.id(), backend.id, patience(job));
+        long startWithin = startWithin(job);
+        if (startWithin == Long.MAX_VALUE) {
+            out.send(job.request.id(), backend.id, patience(job));
+        } else {
+            out.send(job.request.id(), backend.id, patience(job), startWithin);
+        }
+    }
+
+    /** For how long from now an attempt of a request may begin: a keyed one that may have run only while its key is known. */
+    private long startWithin(Job job) {
+        boolean bound = job.spec.repeat() == Repeat.KEYED && job.mayHaveRunSince > 0;
+        return bound ? job.mayHaveRunSince + job.spec.keyWindow() - HELD_UP - now : Long.MAX_VALUE;
     }
 
     /** How long to wait: no longer than an answer is worth something. */
@@ -1259,7 +1272,7 @@
     private void again(Job job, Backend failed, boolean neverRan) {
         RequestClass spec = job.spec;
         boolean mayRepeat = job.mayHaveRunSince == 0 || spec.repeat() == Repeat.SAFE
-            || spec.repeat() == Repeat.KEYED && now - job.mayHaveRunSince + TICK < spec.keyWindow();
+            || spec.repeat() == Repeat.KEYED && startWithin(job) > 0;
         boolean inTime = now + (long) (job.lane.service * SECOND / 2) < job.aimAt();
         double price = neverRan ? 0 : 1;
         boolean may = mayRepeat && inTime && retryTokens >= price;
--- a/src/main/java/rushpin/gateway/Ports.java
+++ b/src/main/java/rushpin/gateway/Ports.java
@@ -151,8 +151,17 @@
      * @param coldSpan and is warm after this
      * @param fallMultiple sent more than this many times its present capacity
      * @param fallSpan for this long, it falls over
+     * @param drainGrace how long after a drain was told a server may still be sent requests
      */
-    public record Rules(long answerSlack, double coldFrom, long coldSpan, double fallMultiple, long fallSpan) {
+    public record Rules(long answerSlack, double coldFrom, long coldSpan, double fallMultiple, long fallSpan,
+                        long drainGrace) {
+        /** Where no grace is said: one second, in nanoseconds. */
+        public static final long USUAL_DRAIN_GRACE = 1_000_000_000L;
+
+        /** Rules with the usual grace for drains. */
+        public Rules(long answerSlack, double coldFrom, long coldSpan, double fallMultiple, long fallSpan) {
+            this(answerSlack, coldFrom, coldSpan, fallMultiple, fallSpan, USUAL_DRAIN_GRACE);
+        }
     }
 
     /**
@@ -285,6 +294,15 @@
         /** Starts an attempt and gives it up after {@code patience}. */
         void send(String id, String server, long patience);
 
+        /**
+         * As {@link #send(String, String, long)}, for a request that may have run: nothing of it may be written later than
+         * {@code startWithin} nanoseconds from now, since servers then forget its key. A host that never writes later than
+         * it is asked to need not look at it.
+         */
+        default void send(String id, String server, long patience, long startWithin) {
+            send(id, server, patience);
+        }
+
         /** Final answer: refused, trying again is harmless; 0 for no advice on when. */
         void refuse(String id, long retryAfter);
 
--- a/src/main/java/rushpin/gateway/SettingsReader.java
+++ b/src/main/java/rushpin/gateway/SettingsReader.java
@@ -78,7 +78,12 @@
             new Counter(flag("domain.has-counter"), whole("domain.count-wait-ns"), flag("domain.trued-up"),
                 number("domain.units-top")),
             new Rules(whole("rules.answer-slack-ns"), number("rules.cold-from"), whole("rules.ramp-time-ns"),
-                number("rules.overload-factor"), whole("rules.tip-after-ns")));
+                number("rules.overload-factor"), whole("rules.tip-after-ns"), drainGrace()));
+    }
+
+    private long drainGrace() {
+        long told = whole("rules.stop-sending-within-ns");
+        return told > 0 ? told : Rules.USUAL_DRAIN_GRACE;
     }
 
     private String text(String path) {
--- a/src/main/java/rushpin/net/ServerPool.java
+++ b/src/main/java/rushpin/net/ServerPool.java
@@ -49,6 +49,11 @@
     private static final long LOOK = 200 * MS;
     /** A begun answer of which nothing more comes for so long is spoilt and will not get better. */
     private static final long SILENCE = 400 * MS;
+    /**
+     * By so much less than is left, and by no more than this part of it, a server is told to hurry, in milliseconds: the
+     * request may have waited in the kernel before it was read, and this process may be held up before it writes.
+     */
+    private static final long DEADLINE_MARGIN = 50, DEADLINE_PART = 8;
     /** What one read takes at most: it is on the way to a client that may be slow. */
     private static final int READ = 16 * 1024;
 
@@ -70,6 +75,11 @@
         default void attemptWritten(OpenRequest of) {
             // Only who reports of it wants to know.
         }
+
+        /** For how long nothing should be written yet, nanoseconds: after a pause of the process news is read first. */
+        default long settlingTime() {
+            return 0;
+        }
     }
 
     /** How many connections the pool may hold and make at a time; called on its loop. */
@@ -237,7 +247,12 @@
 
     /** Begins an attempt; its outcome is told later, never from within this call. */
     public void send(OpenRequest of, String server, long patience) {
-        Attempt attempt = new Attempt(of, server, patience);
+        send(of, server, patience, Long.MAX_VALUE);
+    }
+
+    /** As above; nothing of it is written later than {@code startWithin} nanoseconds from now. */
+    public void send(OpenRequest of, String server, long patience, long startWithin) {
+        Attempt attempt = new Attempt(of, server, patience, startWithin);
         if (gate == null ? !begin(attempt) : !attempt.waits()) {
             loop.execute(() -> attempt.end(Outcome.NOT_SENT, 0, null));
         }
@@ -302,10 +317,28 @@
             }
             Connection made = connecting.channel().pipeline().get(Connection.class);
             made.endpoint = endpoint;
-            made.write(attempt);
+            writeSettled(made, attempt);
         });
     }
 
+    /** The client's end, or the server's drain, may wait unread behind the news that the connection is up. */
+    private void writeSettled(Connection made, Attempt attempt) {
+        long wait = node.settlingTime();
+        if (wait <= 0) {
+            made.write(attempt);
+            return;
+        }
+        attempt.on = made;
+        made.attempt = attempt;
+        loop.schedule(() -> {
+            if (!attempt.over) {
+                made.write(attempt);
+            } else if (made.channel.isActive()) {
+                made.release();
+            }
+        }, wait, TimeUnit.NANOSECONDS);
+    }
+
     /** At the bound on connections another server's longest idle one gives way, or one here that is too fresh. */
     private boolean makeRoom(Endpoint wanted) {
         for (Endpoint endpoint : endpoints.values()) {
@@ -359,7 +392,10 @@
         private final OpenRequest of;
         private final String server;
         private final long patience;
-        private long sentAt = System.nanoTime(), begunAt = sentAt;
+        /** For how long after {@code decidedAt} its first byte may be written. */
+        private final long startWithin;
+        private final long decidedAt = System.nanoTime();
+        private long sentAt = decidedAt, begunAt = sentAt;
         private boolean written, over;
         private Connection on;
         private Future<?> expiry;
@@ -368,10 +404,16 @@
         private GroupGate.Sending turn;
         private GroupGate.Carrying by;
 
-        Attempt(OpenRequest of, String server, long patience) {
+        Attempt(OpenRequest of, String server, long patience, long startWithin) {
             this.of = of;
             this.server = server;
             this.patience = patience;
+            this.startWithin = startWithin;
+        }
+
+        /** Whether it may still begin: its client waits, and servers know the key of what may have run before. */
+        boolean mayBegin() {
+            return !over && !of.isAnswered() && System.nanoTime() - decidedAt < startWithin;
         }
 
         /** Sends it now or when there is a connection for it; false if there will be none. */
@@ -475,7 +517,7 @@
 
         private void address(HttpRequest message, long expires) {
             message.headers().set(HttpHeaderNames.HOST, host == null ? of.host : host).set("X-Trace-Id", of.request().id())
-                .set("X-Expires-In-Ms", Math.max(1, expires));
+                .set("X-Expires-In-Ms", Math.max(1, expires - Math.min(DEADLINE_MARGIN, expires / DEADLINE_PART)));
             if (of.key != null) {
                 message.headers().set("Idempotency-Key", of.key);
             }
@@ -569,8 +611,12 @@
             if (by != null) {
                 by.on(channel);
             }
-            if (next.over) {
+            // A connection may have come up late: what was true when the attempt was decided need not be so any more.
+            if (!next.mayBegin()) {
+                attempt = null;
+                next.on = null;
                 release();
+                loop.execute(() -> next.end(Outcome.NOT_SENT, 0, null));
                 return;
             }
             attempt = next;
--- a/src/main/java/rushpin/node/Pool.java
+++ b/src/main/java/rushpin/node/Pool.java
@@ -59,8 +59,14 @@
     private static final long ADOPT = 1_000 * MS;
     /** How often what other processes of this node wrote down is read: a server taken out there binds here in 1 s. */
     private static final long DESK = 200 * MS;
-    /** A drain binds 1 s after it was told: whoever stood still for nearly so long has to hear of it first. */
-    private static final long STALL = 700 * MS;
+    /**
+     * A client's leaving binds 100 ms after it and a drain at the end of its grace: who stood still for nearly so long has
+     * to hear of them before anything is written. A further pause that nobody sees is allowed for in the grace.
+     */
+    private static final long LONGEST_UNNOTICED_PAUSE = 80 * MS;
+    private static final long UNSEEN_PAUSE = 150 * MS;
+    /** Shorter pauses are usual on a shared core and not worth a line. */
+    private static final long REPORTED_PAUSE = 500 * MS;
     /** How often a request that came before the first list is looked at again; discovery's patience bounds it. */
     private static final long HELD = 5 * MS;
     /** What came during a stall is read in a pass or two of the loop. */
@@ -122,12 +128,17 @@
         this.claims = claims;
         names = plan.upstream().names();
         settings = plan.settings();
-        stalls = new Stalls(STALL, SETTLING, clock.now());
+        stalls = new Stalls(longestPause(settings.rules().drainGrace()), SETTLING, clock.now());
         servers = new ServerPool(this, loop, plan.upstream(), budgets);
         counter = new CounterClient(this::counted, loop, plan.upstream());
         discovery = plan.upstream().discovery() == null ? null : new DiscoveryClient(this, loop, plan.upstream());
     }
 
+    /** How long the process may stand still without looking at its sockets first. */
+    private static long longestPause(long drainGrace) {
+        return Math.min(LONGEST_UNNOTICED_PAUSE, Math.max(drainGrace - UNSEEN_PAUSE, drainGrace / 4));
+    }
+
     /** Reports to a desk, and keeps to what operators say there; before the start. */
     void serveDesk(Desk with) {
         desk = with;
@@ -494,7 +505,7 @@
     /** The time, and a sign of life: the module's own tick comes each 10 ms. */
     private long now() {
         long now = clock.now();
-        if (stalls.beat(now)) {
+        if (stalls.beat(now) && stalls.age(now) >= REPORTED_PAUSE) {
             log("stood still for " + stalls.age(now) / MS + " ms: what came meanwhile is read before anything is sent");
         }
         return now;
@@ -750,6 +761,11 @@
 
     @Override
     public void send(String id, String server, long patience) {
+        send(id, server, patience, Long.MAX_VALUE);
+    }
+
+    @Override
+    public void send(String id, String server, long patience, long startWithin) {
         OpenRequest of = open.get(id);
         if (of == null || of.isAnswered() || of.isAttemptOut()) {
             // It may not go out, but the module counts it as out until it hears how it ended.
@@ -761,23 +777,31 @@
         if (tap != null) {
             tap.sent(of, server, now());
         }
-        long wait = stalls.left(now());
+        long wait = settlingTime();
         if (wait == 0) {
-            servers.send(of, server, patience);
+            servers.send(of, server, patience, startWithin);
         } else {
             // The list that is read meanwhile decides whether that server may still be sent anything.
-            loop.schedule(() -> sendLater(of, server, patience - wait), wait, TimeUnit.NANOSECONDS);
+            long decided = System.nanoTime();
+            loop.schedule(() -> sendLater(of, server, patience, startWithin, decided), wait, TimeUnit.NANOSECONDS);
         }
     }
 
-    private void sendLater(OpenRequest of, String server, long patience) {
-        if (of.isAnswered() || patience <= 0) {
+    private void sendLater(OpenRequest of, String server, long patience, long startWithin, long decided) {
+        long waited = System.nanoTime() - decided;
+        long left = startWithin == Long.MAX_VALUE ? Long.MAX_VALUE : startWithin - waited;
+        if (of.isAnswered() || patience <= waited || left <= 0) {
             attemptEnded(of, Outcome.NOT_SENT, 0, server, 0, null);
         } else {
-            servers.send(of, server, patience);
+            servers.send(of, server, patience - waited, left);
         }
     }
 
+    @Override
+    public long settlingTime() {
+        return stalls.left(now());
+    }
+
     @Override
     public void refuse(String id, long retryAfter) {
         OpenRequest of = open.get(id);
--- a/src/test/java/rushpin/gateway/Host.java
+++ b/src/test/java/rushpin/gateway/Host.java
@@ -118,6 +118,8 @@
             attempts(id).size() - 1, 0, List.of()));
     }
 
+    private final Map<String, List<Long>> spans = new HashMap<>();
+
     List<Sent> attempts(String id) {
         return sent.stream().filter(s -> s.id().equals(id)).toList();
     }
@@ -132,7 +134,18 @@
 
     @Override
     public void send(String id, String server, long patience) {
+        send(id, server, patience, Long.MAX_VALUE);
+    }
+
+    @Override
+    public void send(String id, String server, long patience, long startWithin) {
         sent.add(new Sent(id, server, patience));
+        spans.computeIfAbsent(id, key -> new ArrayList<>()).add(startWithin);
+    }
+
+    /** For each attempt of a request, for how long after its decision it may begin. */
+    List<Long> startWithin(String id) {
+        return spans.get(id);
     }
 
     @Override
--- a/src/test/java/rushpin/gateway/RulesTest.java
+++ b/src/test/java/rushpin/gateway/RulesTest.java
@@ -140,6 +140,29 @@
         assertEquals(List.of(id), host.failed);
     }
 
+    /** A connection may come up late and the process be held up: what is left of the window goes with the attempt. */
+    @Test
+    void aRepeatOfWhatMayHaveRunIsToldUntilWhenItMayBegin() {
+        host.servers(4);
+        String id = host.request(KEYED_CELL, 1);
+        host.now += 300 * MS;
+        host.end(id, Outcome.RESET, false);
+        List<Long> within = host.startWithin(id);
+        assertEquals(2, within.size());
+        assertEquals(Long.MAX_VALUE, within.get(0));
+        assertEquals(700 * MS - 300 * MS - 160 * MS, within.get(1));
+    }
+
+    @Test
+    void keyedIsNotSentAgainSoLateThatAPauseWouldCarryItBeyondItsWindow() {
+        host.servers(4);
+        String id = host.request(KEYED_CELL, 1);
+        host.now += 550 * MS;
+        host.end(id, Outcome.RESET, false);
+        assertEquals(1, host.attempts(id).size());
+        assertEquals(List.of(id), host.failed);
+    }
+
     @Test
     void keyedOverAllServersMayBeRefused() {
         host.servers(4);
