--- a/src/main/java/rushpin/net/GroupGate.java
+++ b/src/main/java/rushpin/net/GroupGate.java
@@ -231,19 +231,21 @@
         return ration.mustShrink();
     }
 
-    /** A connection begins to be made, under what was taken. */
-    void follow(Channel channel, Future<?> connecting) {
-        channel.closeFuture().addListener(closed -> {
-            Parting parting = channel.attr(Parting.KEY).getAndSet(null);
-            boolean unsure = connecting.isDone() && connecting.cause() instanceof ConnectTimeoutException;
-            if (unsure) {
-                // It may have come up at the other side.
-                ration.leaves();
-                loop.schedule(() -> gone(true), halfOpen, TimeUnit.NANOSECONDS);
-            } else {
-                gone(parting != null);
-            }
-        });
+    /**
+     * A connection that was taken has ended.
+     *
+     * @param opened the channel that it was; null if it never came up
+     * @param failure why it could not be made; null if it was
+     */
+    void ended(Channel opened, Throwable failure) {
+        Parting parting = opened == null ? null : opened.attr(Parting.KEY).getAndSet(null);
+        if (failure instanceof ConnectTimeoutException) {
+            // It may have come up at the other side.
+            ration.leaves();
+            loop.schedule(() -> gone(true), halfOpen, TimeUnit.NANOSECONDS);
+        } else {
+            gone(parting != null);
+        }
     }
 
     private void gone(boolean left) {
--- a/src/main/java/rushpin/net/ServerPool.java
+++ b/src/main/java/rushpin/net/ServerPool.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -117,6 +116,11 @@
 
     /** Holds as many connections as there are slots. */
     public ServerPool(Listener node, EventLoop loop, Upstream config, Slots slots) {
+        this(node, loop, config, slots, Transport.connecting(loop, config.discovery()));
+    }
+
+    /** As above, with sockets of one's own. */
+    ServerPool(Listener node, EventLoop loop, Upstream config, Slots slots, Bootstrap connecting) {
         this.node = node;
         this.loop = loop;
         // Well before the app server does: a request written to a connection that it closes ends as a reset.
@@ -124,7 +128,7 @@
         mostUnits = config.mostUnits();
         this.slots = slots;
         host = config.host();
-        bootstrap = Transport.connecting(loop, config.discovery())
+        bootstrap = connecting
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, config.connectTimeout() / MS))
             .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 2_048, READ))
             .handler(new ChannelInitializer<Channel>() {
@@ -298,27 +302,52 @@
     }
 
     private void connect(Endpoint endpoint, Attempt attempt) {
-        ChannelFuture connecting = bootstrap.connect(endpoint.address);
-        connecting.channel().closeFuture().addListener(closed -> {
-            held--;
-            slots.giveConnection();
-        });
-        if (gate != null) {
-            // Only here: a connection that is kept would keep its first request.
-            connecting.channel().closeFuture().addListener(closed -> attempt.carried());
-            gate.follow(connecting.channel(), connecting);
+        Transport.connect(bootstrap, loop, endpoint.address, new Connecting(endpoint, attempt));
+    }
+
+    /** A connect on its way, and the place that it holds until its channel has ended. */
+    private final class Connecting implements Transport.ConnectListener {
+        private final Endpoint endpoint;
+        private final Attempt attempt;
+        private Channel opened;
+        private Throwable failure;
+
+        Connecting(Endpoint endpoint, Attempt attempt) {
+            this.endpoint = endpoint;
+            this.attempt = attempt;
         }
-        connecting.addListener(done -> {
+
+        @Override
+        public void opened(Channel channel) {
             slots.giveConnect();
-            if (!done.isSuccess() || endpoint.retired) {
-                close(connecting.channel());
+            opened = channel;
+            if (endpoint.retired) {
+                close(channel);
                 attempt.end(Outcome.CONNECT_FAILED, 0, null);
                 return;
             }
-            Connection made = connecting.channel().pipeline().get(Connection.class);
+            Connection made = channel.pipeline().get(Connection.class);
             made.endpoint = endpoint;
             writeSettled(made, attempt);
-        });
+        }
+
+        @Override
+        public void failed(Throwable cause) {
+            slots.giveConnect();
+            failure = cause;
+            attempt.end(Outcome.CONNECT_FAILED, 0, null);
+        }
+
+        @Override
+        public void ended() {
+            held--;
+            slots.giveConnection();
+            if (gate != null) {
+                // Only here: a connection that is kept would keep its first request.
+                attempt.carried();
+                gate.ended(opened, failure);
+            }
+        }
     }
 
     /** The client's end, or the server's drain, may wait unread behind the news that the connection is up. */
--- /dev/null
+++ b/src/test/java/rushpin/net/ServerConnectTest.java
@@ -0,0 +1,193 @@
+package rushpin.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import rushpin.gateway.Ports.Outcome;
+import rushpin.gateway.Ports.Readiness;
+import rushpin.gateway.Ports.Request;
+import rushpin.gateway.Ports.Server;
+import rushpin.membership.Member;
+import rushpin.membership.Names;
+import rushpin.membership.Roll;
+
+/** Attempts whose system calls fail: each ends once, on the loop, as one that never ran, and gives its place back. */
+@Timeout(60)
+class ServerConnectTest {
+    private static final long LONG = 30_000_000_000L;
+    private static final int ATTEMPTS = 5;
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final FailingSockets sockets = new FailingSockets();
+    private final BlockingQueue<Outcome> ended = new LinkedBlockingQueue<>();
+    private final CountedSlots slots = new CountedSlots();
+    private volatile boolean endedElsewhere;
+    private ServerSocket listening;
+    private ServerPool servers;
+
+    @BeforeEach
+    void begin() throws Exception {
+        listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Upstream upstream = new Upstream(null, null, 1, LONG, LONG, 8,
+            new Names(List.of("c"), List.of("a"), List.of("z"), List.of("k")), "", null);
+        Member member = new Member(new Server("s0", 1, 0, 0, 0, Readiness.READY, 0),
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), listening.getLocalPort()));
+        onLoop(() -> {
+            servers = new ServerPool(new Ends(), loop, upstream, slots, new Bootstrap().group(loop).channelFactory(sockets));
+            servers.update(new Roll(1, true, List.of(member)), true);
+            return null;
+        });
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        onLoop(() -> {
+            servers.close();
+            return null;
+        });
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        listening.close();
+    }
+
+    static Stream<Consumer<FailingSockets>> failures() {
+        return Stream.of(FailingSockets::refuseSockets,
+            all -> all.failConnects(new ConnectException("Network is unreachable")),
+            all -> all.failConnects(new IOException("Cannot assign requested address")),
+            all -> all.failConnects(new NoRouteToHostException("No route to host")),
+            all -> all.failFinishing(new IOException("Connection timed out")));
+    }
+
+    @ParameterizedTest
+    @MethodSource("failures")
+    void anAttemptThatCannotConnectGivesItsPlaceBack(Consumer<FailingSockets> failure) throws Exception {
+        failure.accept(sockets);
+        for (int i = 0; i < ATTEMPTS; i++) {
+            send("r" + i);
+            assertEquals(Outcome.CONNECT_FAILED, ended.poll(30, TimeUnit.SECONDS));
+        }
+        assertEquals(0, ended.size());
+        assertEquals(ATTEMPTS, sockets.sockets.get(), "nothing below the module tries again");
+        assertEquals("0 connections, 0 connects", onLoop(slots::toString));
+        assertTrue(!endedElsewhere, "an attempt ended on a foreign thread");
+
+        sockets.succeed();
+        Thread closing = new Thread(this::closeAllThatCome);
+        closing.setDaemon(true);
+        closing.start();
+        send("last");
+        assertEquals(Outcome.RESET, ended.poll(30, TimeUnit.SECONDS));
+    }
+
+    /** Those of attempts that failed at this side only, too. */
+    private void closeAllThatCome() {
+        try {
+            while (true) {
+                listening.accept().close();
+            }
+        } catch (IOException e) {
+            // The test is over.
+        }
+    }
+
+    private void send(String id) throws Exception {
+        Request request = new Request(id, 0, 0, 1, System.nanoTime() + LONG, 1, 1, 0, false);
+        OpenRequest of = new OpenRequest(request, "c", HttpMethod.GET, "/", null, "h", Unpooled.EMPTY_BUFFER, null, null, 0,
+            LONG);
+        onLoop(() -> {
+            servers.send(of, "s0", LONG);
+            return null;
+        });
+    }
+
+    private <T> T onLoop(Callable<T> work) throws Exception {
+        return loop.submit(work).get(30, TimeUnit.SECONDS);
+    }
+
+    private final class Ends implements ServerPool.Listener {
+        @Override
+        public void attemptEnded(OpenRequest of, Outcome outcome, long took, String server, double units, ByteBuf body) {
+            endedElsewhere |= !loop.inEventLoop();
+            // Behind the end of the channel, which gives the place back.
+            loop.execute(() -> ended.add(outcome));
+        }
+
+        @Override
+        public void answerBegins(OpenRequest of, long took, String server, double units, Passage passage, long length) {
+            throw new AssertionError("no answer is long here");
+        }
+
+        @Override
+        public long left(OpenRequest of) {
+            return LONG;
+        }
+
+        @Override
+        public void bodyGone(OpenRequest of) {
+            throw new AssertionError("no body is long here");
+        }
+    }
+
+    private static final class CountedSlots implements ServerPool.Slots {
+        private int connections;
+        private int connects;
+
+        @Override
+        public boolean takeConnection() {
+            connections++;
+            return true;
+        }
+
+        @Override
+        public void giveConnection() {
+            connections--;
+        }
+
+        @Override
+        public boolean takeConnect() {
+            connects++;
+            return true;
+        }
+
+        @Override
+        public void giveConnect() {
+            connects--;
+        }
+
+        @Override
+        public boolean mustShrink() {
+            return false;
+        }
+
+        @Override
+        public String toString() {
+            return connections + " connections, " + connects + " connects";
+        }
+    }
+}
