--- a/src/main/java/rushpin/node/UseStore.java
+++ b/src/main/java/rushpin/node/UseStore.java
@@ -2,17 +2,20 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.MappedByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Files;
+import java.nio.file.OpenOption;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -26,9 +29,13 @@
 import rushpin.quota.UseRecord.Origin;
 
 /**
- * A pool's record of use in the state folder: a file of this process, mapped into memory and locked, so that what was
- * stored in it is the kernel's when the process is killed. At a start the files of this node and pool that nobody holds
- * are taken over, once. Trouble with the folder costs a line, never the service. Owned by the pool's loop.
+ * A pool's record of use in the state folder: a locked file of this process, written at each entry, so that what was
+ * stored in it is the kernel's when the process is killed. At a start, and each second, the files of this node and pool
+ * that nobody holds are taken over, once. Owned by the pool's loop.
+ *
+ * <p>Trouble with the folder costs a line, never the service: use is kept in memory, and the whole of it is stored as soon
+ * as the folder can be used again. The file is written and not mapped: a store into a mapping whose disk fails ends in an
+ * {@link InternalError} that the virtual machine raises somewhere later, where nothing can catch it for sure.
  */
 final class UseStore implements UseBook.Port, AutoCloseable {
     /** A mebibyte holds some 26,000 entries; beyond that the file is written anew, in a millisecond or two. */
@@ -38,37 +45,119 @@
     private static final long MOST_AGE_MS = 60_000;
     private static final String SUFFIX = ".use";
 
+    /** What is asked of the file system. */
+    interface Disk {
+        /** Makes a folder where it is missing. */
+        void makeFolder(Path folder) throws IOException;
+
+        /** The files of a folder. */
+        List<Path> list(Path folder) throws IOException;
+
+        /** Opens a file. */
+        FileChannel open(Path file, OpenOption... how) throws IOException;
+
+        /** All bytes of a file. */
+        byte[] read(FileChannel of) throws IOException;
+
+        /** Writes all bytes at an offset. */
+        void write(FileChannel to, byte[] bytes, int at) throws IOException;
+
+        /** Renames a file, in place of another if there is one. */
+        void move(Path from, Path to) throws IOException;
+
+        /** Deletes a file, if it is there. */
+        void delete(Path file) throws IOException;
+    }
+
+    /** The file system itself. */
+    static class SystemDisk implements Disk {
+        @Override
+        public void makeFolder(Path folder) throws IOException {
+            Files.createDirectories(folder);
+        }
+
+        @Override
+        public List<Path> list(Path folder) throws IOException {
+            try (Stream<Path> all = Files.list(folder)) {
+                return all.sorted().toList();
+            }
+        }
+
+        @Override
+        public FileChannel open(Path file, OpenOption... how) throws IOException {
+            return FileChannel.open(file, how);
+        }
+
+        @Override
+        public byte[] read(FileChannel of) throws IOException {
+            ByteBuffer all = ByteBuffer.allocate((int) of.size());
+            while (all.hasRemaining() && of.read(all, all.position()) > 0) {
+                // Read on to the end.
+            }
+            return all.array();
+        }
+
+        @Override
+        public void write(FileChannel to, byte[] bytes, int at) throws IOException {
+            ByteBuffer rest = ByteBuffer.wrap(bytes);
+            while (rest.hasRemaining()) {
+                to.write(rest, at + rest.position());
+            }
+        }
+
+        @Override
+        public void move(Path from, Path to) throws IOException {
+            Files.move(from, to, StandardCopyOption.ATOMIC_MOVE);
+        }
+
+        @Override
+        public void delete(Path file) throws IOException {
+            Files.deleteIfExists(file);
+        }
+    }
+
+    /** What is amiss, the worse the later; a line says it when it becomes worse, and one when all is well again. */
+    private enum Trouble {
+        NONE, OTHERS_NOT_TAKEN_OVER, NOT_KEPT
+    }
+
     private final Path folder;
     private final Origin origin;
     private final Consumer<String> log;
-    private UseBook book;
+    private final Disk disk;
+    private final UseBook book = new UseBook(MOST, MOST_CUSTOMERS, List.of(), UseBook.NOT_STORED, this);
+    /** Files that this one has taken over and that could not be deleted yet, with their begins. */
+    private final Map<Path, Long> leftOver = new LinkedHashMap<>();
+    /** Files that are another's, each of which has cost its line. */
+    private final Set<Path> leftAlone = new HashSet<>();
     private Path file;
     private FileChannel channel;
-    private Sink sink;
-    private long begun;
+    private long begun, lastBegin;
+    private Exception fault;
+    private Trouble said = Trouble.NONE;
+    private boolean closed;
 
-    private UseStore(Path folder, Origin origin, Consumer<String> log) {
+    private UseStore(Path folder, Origin origin, Consumer<String> log, Disk disk) {
         this.folder = folder;
         this.origin = origin;
         this.log = log;
-        begun = origin.begun();
+        this.disk = disk;
+        lastBegin = origin.begun() - 1;
     }
 
     /** What a start finds. */
     record Opened(UseStore store, List<Balance> untold) {
     }
 
-    /** Opens the folder; null if it cannot be used, which one line tells. */
+    /** Opens the folder; one that cannot be used costs a line, and is tried again with each {@link #adopt}. */
     static Opened open(Path folder, String node, String pool, long nowMs, Consumer<String> log) {
-        UseStore store = new UseStore(folder, new Origin(node, pool, nowMs), log);
-        try {
-            Files.createDirectories(folder);
-            return store.begin(nowMs);
-        } catch (IOException | RuntimeException e) {
-            log.accept("use is not kept over a hard kill: the state folder " + folder + " cannot be used: " + e);
-            store.close();
-            return null;
-        }
+        return open(folder, node, pool, nowMs, log, new SystemDisk());
+    }
+
+    /** As above, on a given disk. */
+    static Opened open(Path folder, String node, String pool, long nowMs, Consumer<String> log, Disk disk) {
+        UseStore store = new UseStore(folder, new Origin(node, pool, nowMs), log, disk);
+        return new Opened(store, store.adopt(nowMs));
     }
 
     /** Records of this node and pool that nobody holds any more, held while they are taken over. */
@@ -88,17 +177,24 @@
                 .flatMap(one -> one.balances().stream()).filter(b -> nowMs - b.at() <= MOST_AGE_MS).toList();
         }
 
-        /** Only when they are named in a record that is whole: a kill before this leaves both. */
-        void delete() throws IOException {
-            for (Path each : paths) {
-                Files.deleteIfExists(each);
+        /** The files, each with its begin. */
+        Map<Path, Long> files() {
+            Map<Path, Long> files = new LinkedHashMap<>();
+            for (int i = 0; i < paths.size(); i++) {
+                files.put(paths.get(i), contents.get(i).origin().begun());
             }
+            return files;
         }
 
+        /** What cannot be closed must not keep what was taken over from being told. */
         @Override
-        public void close() throws IOException {
+        public void close() {
             for (FileChannel each : held) {
-                each.close();
+                try {
+                    each.close();
+                } catch (IOException e) {
+                    // The kernel lets go of it with the process at the latest.
+                }
             }
         }
     }
@@ -106,8 +202,10 @@
     private Found find() throws IOException {
         Found found = new Found();
         try {
-            for (Path each : files()) {
-                if (!each.equals(file)) {
+            List<Path> all = disk.list(folder);
+            leftAlone.retainAll(all);
+            for (Path each : all) {
+                if (each.toString().endsWith(SUFFIX) && !each.equals(file) && !leftOver.containsKey(each)) {
                     look(each, found);
                 }
             }
@@ -118,43 +216,70 @@
         }
     }
 
-    private Opened begin(long nowMs) throws IOException {
-        try (Found found = find()) {
-            List<Balance> untold = found.balances(nowMs);
-            int first = create(entries(found.begins(), nowMs, untold.stream()
-                .map(b -> new Entry(Kind.TOOK, b.plan(), b.customer(), b.units(), b.at())).toList()));
-            found.delete();
-            book = new UseBook(MOST, MOST_CUSTOMERS, untold, first, this);
-            tellTaken(untold);
-            return new Opened(this, untold);
-        }
-    }
-
-    /** Takes over what processes have left that ended since the start, as the old one does in a hand-over. */
+    /**
+     * Takes over what processes have left that have ended, as the old one does in a hand-over, and stores what could not
+     * be stored before; to be called each second.
+     */
     List<Balance> adopt(long nowMs) {
-        if (sink == null) {
+        if (closed) {
             return List.of();
         }
+        fault = null;
+        List<Balance> untold = List.of();
+        try {
+            disk.makeFolder(folder);
+            deleteLeftOver();
+            untold = takeOver(nowMs);
+        } catch (IOException | RuntimeException e) {
+            fault = e;
+        }
+        book.catchUp(nowMs);
+        tellTrouble();
+        return untold;
+    }
+
+    private List<Balance> takeOver(long nowMs) throws IOException {
         try (Found found = find()) {
             if (found.contents.isEmpty()) {
                 return List.of();
             }
             List<Balance> untold = found.balances(nowMs);
-            book.absorb(found.begins(), untold, nowMs);
-            if (sink != null) {
-                found.delete();
+            if (!book.absorb(found.begins(), untold, nowMs)) {
+                return List.of();
+            }
+            // Only now that they are named in a record that is whole: a kill before this leaves both.
+            leftOver.putAll(found.files());
+            deleteLeftOver();
+            if (!untold.isEmpty()) {
+                log.accept("untold use of " + untold.size() + " customers taken over from before this start");
             }
-            tellTaken(untold);
             return untold;
-        } catch (IOException | RuntimeException e) {
-            log.accept("the state folder " + folder + " cannot be looked through: " + e);
-            return List.of();
         }
     }
 
-    private void tellTaken(List<Balance> untold) {
-        if (!untold.isEmpty()) {
-            log.accept("untold use of " + untold.size() + " customers taken over from before this start");
+    /** Each is named in the present record, and in those that follow it, for as long as it is there. */
+    private void deleteLeftOver() {
+        Iterator<Path> paths = leftOver.keySet().iterator();
+        while (paths.hasNext()) {
+            try {
+                disk.delete(paths.next());
+                paths.remove();
+            } catch (IOException | RuntimeException e) {
+                fault = e;
+            }
+        }
+    }
+
+    private void tellTrouble() {
+        Trouble now = book.isBehind() ? Trouble.NOT_KEPT : fault != null ? Trouble.OTHERS_NOT_TAKEN_OVER : Trouble.NONE;
+        if (now == Trouble.NONE && said != Trouble.NONE) {
+            said = now;
+            log.accept("the state folder " + folder + " can be used again: use is kept over a hard kill");
+        } else if (now.compareTo(said) > 0) {
+            said = now;
+            log.accept(now == Trouble.NOT_KEPT
+                ? "use is not kept over a hard kill: the state folder " + folder + " cannot be used: " + fault
+                : "the state folder " + folder + " cannot be looked through: " + fault);
         }
     }
 
@@ -165,22 +290,16 @@
         return all;
     }
 
-    private List<Path> files() throws IOException {
-        try (Stream<Path> all = Files.list(folder)) {
-            return all.filter(each -> each.getFileName().toString().endsWith(SUFFIX)).sorted().toList();
-        }
-    }
-
     private void look(Path each, Found found) throws IOException {
-        FileChannel opened = FileChannel.open(each, StandardOpenOption.READ, StandardOpenOption.WRITE);
+        FileChannel opened = disk.open(each, StandardOpenOption.READ, StandardOpenOption.WRITE);
         boolean mine = false;
         try {
             if (opened.size() > SIZE) {
-                log.accept(each + " is larger than a record of use: left alone");
+                leaveAlone(each, " is larger than a record of use");
                 return;
             }
             FileLock lock = lock(opened);
-            Contents contents = UseRecord.read(bytes(opened));
+            Contents contents = UseRecord.read(disk.read(opened));
             if (contents.origin() == null) {
                 if (lock != null) {
                     log.accept(each + " is no record of use of this version, or its head is torn: set aside");
@@ -194,8 +313,7 @@
             }
             if (!contents.origin().node().equals(origin.node()) || !contents.origin().pool().equals(origin.pool())) {
                 if (!contents.origin().node().equals(origin.node())) {
-                    log.accept(each + " is node " + contents.origin().node() + "'s record, this is " + origin.node()
-                        + ": left alone");
+                    leaveAlone(each, " is node " + contents.origin().node() + "'s record, this is " + origin.node());
                 }
                 return;
             }
@@ -215,6 +333,12 @@
         }
     }
 
+    private void leaveAlone(Path each, String why) {
+        if (leftAlone.add(each)) {
+            log.accept(each + why + ": left alone");
+        }
+    }
+
     private static FileLock lock(FileChannel of) throws IOException {
         try {
             return of.tryLock();
@@ -224,88 +348,53 @@
         }
     }
 
-    private static byte[] bytes(FileChannel of) throws IOException {
-        ByteBuffer all = ByteBuffer.allocate((int) of.size());
-        while (all.hasRemaining() && of.read(all, all.position()) > 0) {
-            // Read on to the end.
-        }
-        return all.array();
-    }
-
-    private static void aside(Path each) throws IOException {
-        Files.move(each, each.resolveSibling(each.getFileName() + ".bad"), StandardCopyOption.REPLACE_EXISTING);
+    private void aside(Path each) throws IOException {
+        disk.move(each, each.resolveSibling(each.getFileName() + ".bad"));
     }
 
     /** Begins a file with its first entries and gives it its name when these are whole. */
-    private int create(List<Entry> first) throws IOException {
-        String name = (origin.pool().isEmpty() ? "pool" : origin.pool()) + "-" + begun + "-" + ProcessHandle.current().pid();
-        Path draft = folder.resolve(name + ".draft");
-        FileChannel made = FileChannel.open(draft, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
+    private void create(long begin, List<Entry> first) throws IOException {
+        byte[] image = new byte[SIZE];
+        Sink to = Sink.of(image);
+        UseRecord.header(to, new Origin(origin.node(), origin.pool(), begin));
+        for (int place = 0; place < first.size(); place++) {
+            UseRecord.entry(to, place, first.get(place));
+        }
+        // One draft at most, also where none can be deleted.
+        Path draft = path(origin.begun(), ".draft"), whole = path(begin, SUFFIX);
+        FileChannel made = disk.open(draft, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
             StandardOpenOption.READ, StandardOpenOption.WRITE);
         try {
-            // Written, not only sized: a full disk is to fail here and not at a store into memory.
-            ByteBuffer zeros = ByteBuffer.allocate(1 << 16);
-            for (int at = 0; at < SIZE; at += zeros.capacity()) {
-                zeros.clear();
-                while (zeros.hasRemaining()) {
-                    made.write(zeros, at + zeros.position());
-                }
-            }
             if (lock(made) == null) {
                 throw new IOException(draft + " is held by another");
             }
-            Sink to = mapped(made.map(FileChannel.MapMode.READ_WRITE, 0, SIZE));
-            UseRecord.header(to, new Origin(origin.node(), origin.pool(), begun));
-            for (int i = 0; i < first.size(); i++) {
-                UseRecord.entry(to, i, first.get(i));
-            }
-            Path whole = folder.resolve(name + SUFFIX);
-            Files.move(draft, whole, StandardCopyOption.ATOMIC_MOVE);
-            file = whole;
-            channel = made;
-            sink = to;
-            return first.size();
+            // Written to its end, not only sized: a full disk is to fail here and not at some entry.
+            disk.write(made, image, 0);
+            disk.move(draft, whole);
         } catch (IOException | RuntimeException e) {
-            made.close();
-            Files.deleteIfExists(draft);
+            discard(made, draft);
+            // A rename that failed may have been done all the same: nobody may take it for an ended process's.
+            leftOver.put(whole, begin);
+            deleteLeftOver();
             throw e;
         }
+        file = whole;
+        channel = made;
+        begun = begin;
     }
 
-    private static Sink mapped(MappedByteBuffer bytes) {
-        return new Sink() {
-            @Override
-            public void put(int at, byte value) {
-                bytes.put(at, value);
-            }
-
-            @Override
-            public void putInt(int at, int value) {
-                bytes.putInt(at, value);
-            }
-
-            @Override
-            public void putLong(int at, long value) {
-                bytes.putLong(at, value);
-            }
-
-            @Override
-            public int getInt(int at) {
-                return bytes.getInt(at);
-            }
-
-            @Override
-            public long getLong(int at) {
-                return bytes.getLong(at);
-            }
+    private Path path(long begin, String suffix) {
+        String pool = origin.pool().isEmpty() ? "pool" : origin.pool();
+        return folder.resolve(pool + "-" + begin + "-" + ProcessHandle.current().pid() + suffix);
+    }
 
-            @Override
-            public byte[] copy(int at, int length) {
-                byte[] copy = new byte[length];
-                bytes.get(at, copy);
-                return copy;
-            }
-        };
+    private void discard(FileChannel made, Path draft) {
+        try {
+            made.close();
+            disk.delete(draft);
+        } catch (IOException | RuntimeException e) {
+            // It is written over by the next try.
+        }
     }
 
     /** Where the module's use is written down. */
@@ -314,33 +403,48 @@
     }
 
     @Override
-    public void write(int place, Entry entry) {
-        if (sink != null) {
-            UseRecord.entry(sink, place, entry);
+    public boolean write(int place, Entry entry) {
+        if (closed) {
+            return false;
+        }
+        try {
+            disk.write(channel, UseRecord.entry(place, entry), UseRecord.offset(place));
+            return true;
+        } catch (IOException | RuntimeException e) {
+            fault = e;
+            said = Trouble.NOT_KEPT;
+            log.accept("use is not kept over a hard kill: " + file + " cannot be written: " + e);
+            return false;
         }
     }
 
     @Override
     public int renew(List<Long> absorbed, List<Entry> open, long nowMs) {
-        if (sink == null) {
-            // It has failed once, and said so: not again with each entry.
-            return MOST;
+        if (closed) {
+            return UseBook.NOT_STORED;
         }
         Path old = file;
         FileChannel before = channel;
+        long oldBegun = begun;
+        lastBegin = Math.max(lastBegin + 1, nowMs);
         List<Long> begins = new ArrayList<>(absorbed);
-        begins.add(begun);
-        begun = Math.max(begun + 1, nowMs);
+        begins.addAll(leftOver.values());
+        if (old != null) {
+            begins.add(oldBegun);
+        }
+        List<Entry> first = entries(begins, nowMs, open);
         try {
-            int first = create(entries(begins, nowMs, open));
-            Files.deleteIfExists(old);
-            before.close();
-            return first;
+            create(lastBegin, first);
         } catch (IOException | RuntimeException e) {
-            log.accept("use is not kept over a hard kill any more: the record cannot be written anew: " + e);
-            sink = null;
-            return MOST;
+            fault = e;
+            return UseBook.NOT_STORED;
         }
+        if (old != null) {
+            leftOver.put(old, oldBegun);
+            deleteLeftOver();
+            letGo(before);
+        }
+        return first.size();
     }
 
     @Override
@@ -348,16 +452,20 @@
         log.accept(text);
     }
 
+    private void letGo(FileChannel of) {
+        try {
+            of.close();
+        } catch (IOException e) {
+            log.accept("a record of use cannot be closed: " + e);
+        }
+    }
+
     /** Lets go of the file; who starts next takes it over. */
     @Override
     public void close() {
-        try {
-            sink = null;
-            if (channel != null) {
-                channel.close();
-            }
-        } catch (IOException e) {
-            log.accept("the record of use cannot be closed: " + e);
+        closed = true;
+        if (channel != null) {
+            letGo(channel);
         }
     }
 }
--- a/src/main/java/rushpin/quota/UseBook.java
+++ b/src/main/java/rushpin/quota/UseBook.java
@@ -17,11 +17,12 @@
 public final class UseBook {
     /** Where entries go. */
     public interface Port {
-        /** The entry at a place of the present record. */
-        void write(int place, Entry entry);
+        /** The entry at a place of the present record; whether it was stored. */
+        boolean write(int place, Entry entry);
 
         /**
-         * A new record with these entries takes the present one's place whole; returns how many it begins with.
+         * A new record with these entries takes the present one's place whole; returns how many it begins with, or
+         * {@link #NOT_STORED} if the present one still stands.
          *
          * @param absorbed the begins of further records that it takes over
          */
@@ -35,23 +36,40 @@
         private int plan;
         private double untold, telling;
         private long at;
+
+        Open copy() {
+            Open copy = new Open();
+            copy.plan = plan;
+            copy.untold = untold;
+            copy.telling = telling;
+            copy.at = at;
+            return copy;
+        }
     }
 
     /** The module tells millionths: what is left of rounding is nothing. */
     static final double NOTHING = 1e-5;
+    /** In place of a number of entries: there is no record, or no new one. */
+    public static final int NOT_STORED = -1;
     private final Port port;
     private final int most, mostCustomers;
     private final Map<Long, Open> open = new LinkedHashMap<>();
     private int next;
     private boolean crowded;
+    /** The record lacks something: entries go to memory alone until it has been written anew. */
+    private boolean behind;
 
-    /** A book whose record holds {@code most} entries, of which {@code begun} are written and say what is open. */
+    /**
+     * A book whose record holds {@code most} entries, of which {@code begun} are written and say what is open;
+     * {@link #NOT_STORED} if there is no record yet.
+     */
     public UseBook(int most, int mostCustomers, List<Balance> balances, int begun, Port port) {
-        balances.forEach(this::open);
         this.most = most;
         this.mostCustomers = mostCustomers;
         this.port = port;
         next = begun;
+        behind = begun == NOT_STORED;
+        balances.forEach(this::open);
     }
 
     /** Units were taken, or given back if below 0. */
@@ -84,10 +102,7 @@
                 open.values().removeIf(UseBook::isBlank);
             }
             if (open.size() >= mostCustomers) {
-                if (!crowded) {
-                    crowded = true;
-                    port.log("the record of use is full: use of further customers is not kept over a hard kill");
-                }
+                tellCrowded();
                 return;
             }
             of = new Open();
@@ -107,35 +122,90 @@
                 of.telling -= entry.units();
             }
         }
+        if (behind) {
+            return;
+        }
         if (next < most) {
-            port.write(next++, entry);
+            behind = !port.write(next++, entry);
         } else {
-            renew(List.of(), entry.at());
+            behind = !renew(List.of(), List.of(), entry.at());
         }
     }
 
-    /** Takes over what other records held, all or nothing. */
-    public void absorb(List<Long> begins, List<Balance> balances, long at) {
-        balances.forEach(this::open);
-        renew(begins, at);
+    /** Takes over what other records held, all or nothing; false for nothing: they are still theirs. */
+    public boolean absorb(List<Long> begins, List<Balance> balances, long at) {
+        return renew(begins, balances, at);
+    }
+
+    /** Whether something that is open is not stored: to be tried again by {@link #catchUp}. */
+    public boolean isBehind() {
+        return behind;
+    }
+
+    /** Stores all that is open, if some of it is not stored. */
+    public void catchUp(long at) {
+        if (behind) {
+            renew(List.of(), List.of(), at);
+        }
     }
 
     private void open(Balance balance) {
-        Open of = open.computeIfAbsent(balance.customer(), customer -> new Open());
+        open(balance, open);
+    }
+
+    private void open(Balance balance, Map<Long, Open> into) {
+        if (!into.containsKey(balance.customer()) && into.size() >= mostCustomers) {
+            tellCrowded();
+            return;
+        }
+        Open of = into.computeIfAbsent(balance.customer(), customer -> new Open());
         of.plan = balance.plan();
         of.untold += balance.units();
         of.at = balance.at();
     }
 
+    private void tellCrowded() {
+        if (!crowded) {
+            crowded = true;
+            port.log("the record of use is full: use of further customers is not kept over a hard kill");
+        }
+    }
+
     private static boolean isBlank(Open of) {
         return Math.abs(of.untold) < NOTHING && Math.abs(of.telling) < NOTHING;
     }
 
-    /** What is open now, the entry at hand included: half of a new record at most, or it would be renewed for ever. */
-    private void renew(List<Long> absorbed, long at) {
+    /** Whether a new record stands with what is open, the entry at hand included, and with balances of others. */
+    private boolean renew(List<Long> absorbed, List<Balance> balances, long at) {
         open.values().removeIf(UseBook::isBlank);
+        crowded = false;
+        Map<Long, Open> all = open;
+        if (!balances.isEmpty()) {
+            all = new LinkedHashMap<>();
+            for (Map.Entry<Long, Open> each : open.entrySet()) {
+                all.put(each.getKey(), each.getValue().copy());
+            }
+            for (Balance balance : balances) {
+                open(balance, all);
+            }
+        }
+        int begun = port.renew(absorbed, entries(all), at);
+        if (begun == NOT_STORED) {
+            return false;
+        }
+        if (all != open) {
+            open.clear();
+            open.putAll(all);
+        }
+        next = begun;
+        behind = false;
+        return true;
+    }
+
+    /** Half of a new record at most, or it would be renewed for ever. */
+    private static List<Entry> entries(Map<Long, Open> all) {
         List<Entry> first = new ArrayList<>();
-        open.forEach((customer, of) -> {
+        all.forEach((customer, of) -> {
             if (Math.abs(of.untold + of.telling) > NOTHING) {
                 first.add(new Entry(Kind.TOOK, of.plan, customer, of.untold + of.telling, of.at));
             }
@@ -143,8 +213,7 @@
                 first.add(new Entry(Kind.TELLING, of.plan, customer, of.telling, of.at));
             }
         });
-        crowded = false;
-        next = port.renew(absorbed, first, at);
+        return first;
     }
 
     /** What is open, as a record read now would say. */
--- a/src/main/java/rushpin/quota/UseRecord.java
+++ b/src/main/java/rushpin/quota/UseRecord.java
@@ -83,7 +83,22 @@
 
     /** Writes the entry of a place, counted from 0; its checksum is the last that is written of it. */
     public static void entry(Sink to, int place, Entry entry) {
-        int at = HEADER + place * ENTRY;
+        entry(to, offset(place), place, entry);
+    }
+
+    /** The bytes of the entry of a place. */
+    public static byte[] entry(int place, Entry entry) {
+        byte[] bytes = new byte[ENTRY];
+        entry(Sink.of(bytes), 0, place, entry);
+        return bytes;
+    }
+
+    /** Where the entry of a place stands in a record. */
+    public static int offset(int place) {
+        return HEADER + place * ENTRY;
+    }
+
+    private static void entry(Sink to, int at, int place, Entry entry) {
         to.putInt(at, place + 1);
         to.putInt(at + 4, entry.kind().ordinal() << 16 | entry.plan() & 0xffff);
         to.putLong(at + 8, entry.customer());
@@ -154,13 +169,13 @@
     }
 
     private static boolean isWhole(Sink from, int place) {
-        int at = HEADER + place * ENTRY;
+        int at = offset(place);
         return from.getInt(at) == place + 1 && from.getInt(at + CHECKED) == checksum(from.copy(at, CHECKED))
             && (from.getInt(at + 4) >>> 16) < Kind.values().length;
     }
 
     private static Entry get(Sink from, int place) {
-        int at = HEADER + place * ENTRY;
+        int at = offset(place);
         int kind = from.getInt(at + 4);
         return new Entry(Kind.values()[kind >>> 16], kind & 0xffff, from.getLong(at + 8),
             Double.longBitsToDouble(from.getLong(at + 16)), from.getLong(at + 24));
--- a/src/test/java/rushpin/node/UseStoreTest.java
+++ b/src/test/java/rushpin/node/UseStoreTest.java
@@ -2,19 +2,26 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.channels.FileChannel;
 import java.nio.file.Files;
+import java.nio.file.OpenOption;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import rushpin.quota.UseRecord;
 import rushpin.quota.UseRecord.Balance;
 
@@ -155,10 +162,203 @@
     }
 
     @Test
-    void aFolderThatCannotBeWrittenCostsOneLine() throws Exception {
+    void aFolderThatCannotBeUsedCostsOneLineAndIsTakenUpWhenItCan() throws Exception {
         Path file = Files.writeString(folder.resolve("file"), "no folder");
-        assertNull(UseStore.open(file, "n1", "p", NOW, said::add));
-        assertEquals(1, said.size());
+        UseStore.Opened opened = UseStore.open(file, "n1", "p", NOW, said::add);
+        opened.store().book().took(7, 1, 5, NOW);
+        for (int second = 1; second < 5; second++) {
+            assertEquals(List.of(), opened.store().adopt(NOW + second * 1_000));
+        }
+        assertEquals(1, said.size(), said.toString());
         assertTrue(said.get(0).startsWith("use is not kept over a hard kill"), said.get(0));
+        Files.delete(file);
+        assertEquals(List.of(), opened.store().adopt(NOW + 5_000));
+        assertEquals(2, said.size(), said.toString());
+        assertTrue(said.get(1).endsWith("can be used again: use is kept over a hard kill"), said.get(1));
+        opened.store().close();
+        UseStore.Opened next = UseStore.open(file, "n1", "p", NOW + 6_000, said::add);
+        assertEquals(Map.of(7L, 5.0), units(next), "what was taken meanwhile is owed");
+        next.store().close();
+    }
+
+    /** The file system, of which steps fail while their names are named. */
+    private static final class FailingDisk extends UseStore.SystemDisk {
+        final Set<String> failing = new HashSet<>();
+        /** Names of files that alone fail; empty for all. */
+        String only = "";
+        boolean renamesThenFails;
+
+        private void step(String name, Path of) throws IOException {
+            if (failing.contains(name) && of.toString().contains(only)) {
+                throw new IOException(name + " fails");
+            }
+        }
+
+        @Override
+        public List<Path> list(Path folder) throws IOException {
+            step("list", folder);
+            return super.list(folder);
+        }
+
+        @Override
+        public FileChannel open(Path file, OpenOption... how) throws IOException {
+            step("open", file);
+            return super.open(file, how);
+        }
+
+        @Override
+        public byte[] read(FileChannel of) throws IOException {
+            step("read", Path.of(only));
+            return super.read(of);
+        }
+
+        @Override
+        public void write(FileChannel to, byte[] bytes, int at) throws IOException {
+            if (failing.contains("write")) {
+                super.write(to, Arrays.copyOf(bytes, bytes.length / 2), at);
+                throw new IOException("write fails");
+            }
+            super.write(to, bytes, at);
+        }
+
+        @Override
+        public void move(Path from, Path to) throws IOException {
+            if (renamesThenFails) {
+                super.move(from, to);
+                throw new IOException("move fails late");
+            }
+            step("move", from);
+            super.move(from, to);
+        }
+
+        @Override
+        public void delete(Path file) throws IOException {
+            step("delete", file);
+            super.delete(file);
+        }
+    }
+
+    private UseStore.Opened open(long now, FailingDisk disk) {
+        return UseStore.open(folder, "n1", "p", now, said::add, disk);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"write", "write open", "write move", "write list", "write delete"})
+    void aDiskThatFailsForAWhileCostsTwoLinesAndNoUse(String steps) throws Exception {
+        FailingDisk disk = new FailingDisk();
+        UseStore.Opened first = open(NOW, disk);
+        first.store().book().took(7, 1, 5, NOW);
+        disk.failing.addAll(List.of(steps.split(" ")));
+        first.store().book().took(7, 1, 2, NOW);
+        first.store().book().took(8, 1, 3, NOW);
+        for (int second = 1; second < 4; second++) {
+            assertEquals(List.of(), first.store().adopt(NOW + second * 1_000));
+            first.store().book().took(8, 1, 1, NOW);
+        }
+        assertEquals(1, said.stream().filter(line -> line.startsWith("use is not kept")).count(), said.toString());
+        disk.failing.clear();
+        assertEquals(List.of(), first.store().adopt(NOW + 4_000));
+        assertEquals(1, said.stream().filter(line -> line.endsWith("use is kept over a hard kill")).count(), said.toString());
+        first.store().book().took(9, 1, 1, NOW);
+        first.store().close();
+        UseStore.Opened second = open(NOW + 5_000, disk);
+        assertEquals(Map.of(7L, 7.0, 8L, 6.0, 9L, 1.0), units(second));
+        assertEquals(1, files().size(), files().toString());
+        second.store().close();
+    }
+
+    /** A store into a mapping of such a file is SIGBUS, and an error that ends the loop later. */
+    @Test
+    void aFileThatWasCutBeneathItsProcessHurtsNothing() throws Exception {
+        UseStore.Opened first = open("n1", NOW);
+        Path file = files().get(0);
+        for (int i = 0; i < 3; i++) {
+            try (FileChannel cut = FileChannel.open(file, StandardOpenOption.WRITE)) {
+                cut.truncate(0);
+            }
+            for (int taken = 0; taken < 5_000; taken++) {
+                first.store().book().took(7, 1, 1, NOW);
+            }
+        }
+        assertEquals(15_000, first.store().book().balances().get(0).units());
+        first.store().close();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"delete", "read", "open", "move", "write", "list"})
+    void takingOverThatFailsHalfWayNeitherLosesNorDoubles(String step) throws Exception {
+        FailingDisk disk = new FailingDisk();
+        UseStore.Opened first = open(NOW, disk);
+        UseStore.Opened next = open(NOW + 1_000, disk);
+        first.store().book().took(7, 1, 5, NOW);
+        first.store().close();
+        disk.failing.add(step);
+        Map<Long, Double> told = new HashMap<>();
+        for (int second = 2; second < 5; second++) {
+            next.store().adopt(NOW + second * 1_000).forEach(b -> told.merge(b.customer(), b.units(), Double::sum));
+        }
+        disk.failing.clear();
+        next.store().adopt(NOW + 5_000).forEach(b -> told.merge(b.customer(), b.units(), Double::sum));
+        assertEquals(Map.of(7L, 5.0), told, said.toString());
+        assertEquals(1, files().size(), files().toString());
+        next.store().close();
+        UseStore.Opened last = open(NOW + 6_000, disk);
+        assertEquals(Map.of(7L, 5.0), units(last), "it was told to nobody yet");
+        last.store().close();
+    }
+
+    @Test
+    void aFileThatCannotBeDeletedIsNotCountedAgainHoweverOftenTheRecordIsRenewed() throws Exception {
+        FailingDisk disk = new FailingDisk();
+        UseStore.Opened first = open(NOW, disk);
+        first.store().book().took(7, 1, 5, NOW);
+        first.store().close();
+        disk.failing.add("delete");
+        disk.only = "-" + NOW + "-";
+        UseStore.Opened second = open(NOW + 1_000, disk);
+        assertEquals(Map.of(7L, 5.0), units(second));
+        second.store().book().telling(7, 5, NOW + 1_000);
+        second.store().book().told(7, 5, true, NOW + 1_000);
+        for (int i = 0; i < 2 * UseStore.SIZE / UseRecord.ENTRY; i++) {
+            second.store().book().took(8, 1, i % 2 == 0 ? 1 : -1, NOW + 1_000);
+        }
+        second.store().close();
+        disk.failing.clear();
+        UseStore.Opened third = open(NOW + 2_000, disk);
+        assertEquals(Map.of(), units(third));
+        assertEquals(1, files().size(), files().toString());
+        third.store().close();
+    }
+
+    @Test
+    void aRenameThatIsDoneAndReportedAsFailedCountsNothingTwice() throws Exception {
+        FailingDisk disk = new FailingDisk();
+        UseStore.Opened first = open(NOW, disk);
+        first.store().book().took(7, 1, 5, NOW);
+        disk.failing.add("write");
+        first.store().book().took(7, 1, 5, NOW);
+        disk.failing.clear();
+        disk.failing.add("delete");
+        disk.renamesThenFails = true;
+        assertEquals(List.of(), first.store().adopt(NOW + 1_000));
+        assertEquals(List.of(), first.store().adopt(NOW + 2_000));
+        disk.failing.clear();
+        disk.renamesThenFails = false;
+        assertEquals(List.of(), first.store().adopt(NOW + 3_000));
+        assertEquals(1, files().size(), files().toString());
+        first.store().close();
+        UseStore.Opened second = open(NOW + 4_000, disk);
+        assertEquals(Map.of(7L, 10.0), units(second));
+        second.store().close();
+    }
+
+    @Test
+    void anothersRecordCostsOneLineNotOneEachSecond() throws Exception {
+        open("n2", NOW).store().close();
+        UseStore.Opened mine = open("n1", NOW + 1_000);
+        mine.store().adopt(NOW + 2_000);
+        mine.store().adopt(NOW + 3_000);
+        assertEquals(1, said.size(), said.toString());
+        mine.store().close();
     }
 }
--- a/src/test/java/rushpin/quota/UseRecordTest.java
+++ b/src/test/java/rushpin/quota/UseRecordTest.java
@@ -30,7 +30,8 @@
         final int most;
         byte[] bytes;
         long begun = ORIGIN.begun();
-        int renewed;
+        int renewed, tries;
+        boolean failing;
         final UseBook book;
 
         Memory(int most, int customers) {
@@ -41,12 +42,20 @@
         }
 
         @Override
-        public void write(int place, Entry entry) {
+        public boolean write(int place, Entry entry) {
+            if (failing) {
+                return false;
+            }
             UseRecord.entry(Sink.of(bytes), place, entry);
+            return true;
         }
 
         @Override
         public int renew(List<Long> absorbed, List<Entry> open, long now) {
+            tries++;
+            if (failing) {
+                return UseBook.NOT_STORED;
+            }
             bytes = new byte[UseRecord.HEADER + most * UseRecord.ENTRY];
             UseRecord.header(Sink.of(bytes), new Origin("n3", "bookings", ++begun));
             UseRecord.entry(Sink.of(bytes), 0, new Entry(Kind.ABSORBED, 0, begun - 1, 0, now));
@@ -161,6 +170,51 @@
         assertTrue(units(memory.book.balances()).containsKey(9L), "one that is told makes room");
     }
 
+    @Test
+    void whatCouldNotBeStoredIsStoredWholeWithTheNextTry() {
+        Memory memory = new Memory(20, 10);
+        memory.book.took(1, 1, 8, 5);
+        memory.failing = true;
+        memory.book.took(1, 1, 2, 6);
+        memory.book.telling(1, 3, 6);
+        memory.book.took(2, 1, 4, 6);
+        assertTrue(memory.book.isBehind());
+        assertEquals(0, memory.tries, "an entry tries nothing by itself: a failing disk costs no request time");
+        memory.book.catchUp(7);
+        assertTrue(memory.book.isBehind());
+        assertEquals(Map.of(1L, 8.0), units(UseRecord.read(memory.bytes).balances()));
+        memory.failing = false;
+        memory.book.catchUp(8);
+        assertFalse(memory.book.isBehind());
+        assertEquals(Map.of(1L, 10.0, 2L, 4.0), units(UseRecord.read(memory.bytes).balances()));
+        memory.book.told(1, 3, true, 9);
+        assertEquals(Map.of(1L, 7.0, 2L, 4.0), units(UseRecord.read(memory.bytes).balances()));
+    }
+
+    @Test
+    void othersUseIsTakenOverWholeOrNotAtAll() {
+        Memory memory = new Memory(20, 10);
+        memory.book.took(1, 1, 8, 5);
+        memory.failing = true;
+        assertFalse(memory.book.absorb(List.of(99L), List.of(new Balance(1, 1, 2, 4), new Balance(2, 1, 3, 4)), 6));
+        assertEquals(Map.of(1L, 8.0), units(memory.book.balances()));
+        assertFalse(memory.book.isBehind(), "the present record still says all that is open");
+        memory.failing = false;
+        assertTrue(memory.book.absorb(List.of(99L), List.of(new Balance(1, 1, 2, 4), new Balance(2, 1, 3, 4)), 6));
+        assertEquals(Map.of(1L, 10.0, 2L, 3.0), units(UseRecord.read(memory.bytes).balances()));
+    }
+
+    @Test
+    void othersUseBeyondTheMostCustomersLeavesRoomForWhatFollows() {
+        Memory memory = new Memory(20, 3);
+        List<Balance> many = new ArrayList<>();
+        for (long customer = 0; customer < 30; customer++) {
+            many.add(new Balance(customer, 1, 1, 4));
+        }
+        assertTrue(memory.book.absorb(List.of(99L), many, 6));
+        assertEquals(3, UseRecord.read(memory.bytes).balances().size());
+    }
+
     @Property
     void aRecordReadAtAnyTimeSaysWhatTheBookSays(@ForAll long seed, @ForAll @IntRange(min = 24, max = 80) int most) {
         SplittableRandom random = new SplittableRandom(seed);
