--- a/src/main/java/rushpin/net/xds/LastGood.java
+++ b/src/main/java/rushpin/net/xds/LastGood.java
@@ -4,9 +4,13 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
 import java.util.List;
 import java.util.function.Consumer;
 import rushpin.gateway.Ports.Readiness;
@@ -24,12 +28,25 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final long MS = 1_000_000L;
 
+    /** Puts a file's bytes on the disk. */
+    interface Force {
+        /** All that was written through the channel is on the disk on return. */
+        void force(FileChannel channel) throws IOException;
+    }
+
     private final Path file;
     private final Names names;
+    private final Force force;
     private boolean failed;
 
     /** The list of a pool in a folder. */
     public LastGood(Path folder, String pool, Names names) {
+        this(folder, pool, names, channel -> channel.force(true));
+    }
+
+    /** As above, forced to the disk in a given way. */
+    LastGood(Path folder, String pool, Names names, Force force) {
+        this.force = force;
         file = folder.resolve("xds-" + pool + ".json");
         this.names = names;
     }
@@ -66,7 +83,7 @@
         try {
             Files.createDirectories(file.getParent());
             Path draft = file.resolveSibling(file.getFileName() + "." + ProcessHandle.current().pid() + ".draft");
-            Files.writeString(draft, root.toString());
+            write(draft, root.toString());
             Files.move(draft, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
             failed = false;
         } catch (IOException e) {
@@ -76,4 +93,16 @@
             }
         }
     }
+
+    /** Forced, or the name could be given to bytes that never come to the disk; each save writes all of them anew. */
+    private void write(Path draft, String text) throws IOException {
+        try (FileChannel channel = FileChannel.open(draft, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+            StandardOpenOption.TRUNCATE_EXISTING)) {
+            ByteBuffer bytes = ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+            while (bytes.hasRemaining()) {
+                channel.write(bytes);
+            }
+            force.force(channel);
+        }
+    }
 }
--- a/src/main/java/rushpin/traffic/Recorder.java
+++ b/src/main/java/rushpin/traffic/Recorder.java
@@ -1,6 +1,7 @@
 package rushpin.traffic;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
@@ -26,7 +27,14 @@
     private static final long BLOCK_MS = 1_000, AGAIN_MS = 10_000, END_MS = 2_000;
     private static final String SUFFIX = ".avro";
 
+    /** Makes files. */
+    interface Maker {
+        /** A file that was not there. */
+        OutputStream make(Path file) throws IOException;
+    }
+
     private final Keeping keeping;
+    private final Maker maker;
     private final String node;
     private final Consumer<String> log;
     private final Pseudonyms pseudonyms;
@@ -36,13 +44,22 @@
     private volatile boolean closing;
     /** The thread's own. */
     private DataFileWriter<GenericRecord> file;
+    /** What {@link #file} writes to; it stays open if the header cannot be written. Null once it is closed. */
+    private OutputStream bytes;
     private Path path;
     private long againAt, blockAt, told;
     private int serial, inBlock;
 
     /** Begins; {@code log} is told of trouble, a line at a time. Throws if the key can't be read: pseudonyms would differ. */
     public Recorder(Keeping keeping, String node, Consumer<String> log) throws IOException {
+        this(keeping, node, log, file -> Files.newOutputStream(file, StandardOpenOption.CREATE_NEW,
+            StandardOpenOption.WRITE));
+    }
+
+    /** As above, with files made in a given way. */
+    Recorder(Keeping keeping, String node, Consumer<String> log, Maker maker) throws IOException {
         this.keeping = keeping;
+        this.maker = maker;
         this.node = node;
         this.log = log;
         pseudonyms = new Pseudonyms(Files.readAllBytes(keeping.key()));
@@ -135,6 +152,7 @@
         if (Retention.isFull(Files.size(path), keeping)) {
             file.close();
             file = null;
+            bytes = null;
         }
     }
 
@@ -155,8 +173,8 @@
         DataFileWriter<GenericRecord> made = new DataFileWriter<>(new GenericDatumWriter<>(Form.REQUEST));
         made.setCodec(CodecFactory.deflateCodec(DEFLATE)).setSyncInterval(BLOCK_BYTES);
         made.setMeta(Form.VERSION_KEY, Form.VERSION).setMeta(Form.NODE_KEY, node).setMeta(Form.BEGUN_KEY, begun);
-        file = made.create(Form.REQUEST, Files.newOutputStream(path, StandardOpenOption.CREATE_NEW,
-            StandardOpenOption.WRITE));
+        bytes = maker.make(path);
+        file = made.create(Form.REQUEST, bytes);
     }
 
     private String prefix() {
@@ -174,6 +192,24 @@
         } catch (IOException | RuntimeException e) {
             log.accept("records: " + path.getFileName() + " ends at its last whole block");
         }
+        letGo(was == null);
+    }
+
+    /** Without this each try on a full disk would cost a descriptor, and leave a file that has no header. */
+    private void letGo(boolean headless) {
+        OutputStream left = bytes;
+        bytes = null;
+        if (left == null) {
+            return;
+        }
+        try {
+            left.close();
+            if (headless) {
+                Files.deleteIfExists(path);
+            }
+        } catch (IOException e) {
+            log.accept("records: " + path.getFileName() + " cannot be put away: " + e);
+        }
     }
 
     /** Writes what was taken, for 2 s at most. */
--- a/src/test/java/rushpin/traffic/RecorderTest.java
+++ b/src/test/java/rushpin/traffic/RecorderTest.java
@@ -6,10 +6,16 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.FilterOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Stream;
 import org.apache.avro.file.DataFileWriter;
 import org.apache.avro.generic.GenericDatumWriter;
@@ -17,6 +23,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Files as nodes write them, and what becomes of those that a crash, a disk or another version has spoilt. */
 class RecorderTest {
@@ -166,6 +174,49 @@
         assertTrue(said.stream().anyMatch(line -> line.contains("begun anew")), said.toString());
     }
 
+    /** Bytes as of a disk that is full from some byte on, which say whether they were closed. */
+    private static final class FullDisk extends FilterOutputStream {
+        private long room;
+        final CountDownLatch closed = new CountDownLatch(1);
+
+        FullDisk(OutputStream to, long room) {
+            super(to);
+            this.room = room;
+        }
+
+        @Override
+        public void write(int one) throws IOException {
+            if (room-- <= 0) {
+                throw new IOException("no room");
+            }
+            super.write(one);
+        }
+
+        @Override
+        public void close() throws IOException {
+            closed.countDown();
+            super.close();
+        }
+    }
+
+    /** Room for no header, and for a header but no block. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 100, 4_000})
+    void aFullDiskCostsNoDescriptorAndLeavesNoFileWithoutAHeader(long room) throws Exception {
+        AtomicReference<FullDisk> made = new AtomicReference<>();
+        Recorder recorder = new Recorder(keeping(1 << 20, 1 << 24), "n1", said::add, file -> {
+            made.set(new FullDisk(Files.newOutputStream(file), room));
+            return made.get();
+        });
+        for (int i = 0; i < 3_000; i++) {
+            recorder.offer(entry("n1", i, i));
+        }
+        recorder.close();
+        assertTrue(made.get().closed.await(10, TimeUnit.SECONDS));
+        assertEquals(room < 1_000 ? 0 : 1, files().size(), files().toString());
+        assertTrue(said.stream().anyMatch(line -> line.contains("no room; begun anew in 10 s")), said.toString());
+    }
+
     @Test
     void noMoreThanTheAllowedNumberASecond() {
         Allowance allowance = new Allowance(3);
