--- a/src/main/java/rushpin/node/UseStore.java
+++ b/src/main/java/rushpin/node/UseStore.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.stream.Stream;
 import rushpin.quota.Sink;
 import rushpin.quota.UseBook;
@@ -43,6 +44,7 @@
     private static final int MOST = (SIZE - UseRecord.HEADER) / UseRecord.ENTRY, MOST_CUSTOMERS = 8_192;
     /** The counter forgets names after a minute at the latest: older use is nobody's concern. */
     private static final long MOST_AGE_MS = 60_000;
+    private static final long NANOS_A_MS = 1_000_000, NANOS_A_SECOND = 1_000_000_000;
     private static final String SUFFIX = ".use";
 
     /** What is asked of the file system. */
@@ -122,7 +124,10 @@
     }
 
     private final Path folder;
-    private final Origin origin;
+    private final String node, pool;
+    /** Nanoseconds of a clock that nobody sets, the same for all processes of the machine. */
+    private final LongSupplier nanos;
+    private final long startMs, startNanos;
     private final Consumer<String> log;
     private final Disk disk;
     private final UseBook book = new UseBook(MOST, MOST_CUSTOMERS, List.of(), UseBook.NOT_STORED, this);
@@ -137,12 +142,18 @@
     private Trouble said = Trouble.NONE;
     private boolean closed;
 
-    private UseStore(Path folder, Origin origin, Consumer<String> log, Disk disk) {
+    private UseStore(Path folder, String node, String pool, long nowMs, Consumer<String> log, Disk disk, LongSupplier nanos) {
         this.folder = folder;
-        this.origin = origin;
+        // In the form in which records have the names.
+        Origin origin = new Origin(node, pool, nowMs);
+        this.node = origin.node();
+        this.pool = origin.pool();
+        this.nanos = nanos;
+        startMs = nowMs;
+        startNanos = nanos.getAsLong();
         this.log = log;
         this.disk = disk;
-        lastBegin = origin.begun() - 1;
+        lastBegin = nowMs - 1;
     }
 
     /** What a start finds. */
@@ -151,12 +162,13 @@
 
     /** Opens the folder; one that cannot be used costs a line, and is tried again with each {@link #adopt}. */
     static Opened open(Path folder, String node, String pool, long nowMs, Consumer<String> log) {
-        return open(folder, node, pool, nowMs, log, new SystemDisk());
+        return open(folder, node, pool, nowMs, log, new SystemDisk(), System::nanoTime);
     }
 
-    /** As above, on a given disk. */
-    static Opened open(Path folder, String node, String pool, long nowMs, Consumer<String> log, Disk disk) {
-        UseStore store = new UseStore(folder, new Origin(node, pool, nowMs), log, disk);
+    /** As above, on a given disk, with ages by a given clock. */
+    static Opened open(Path folder, String node, String pool, long nowMs, Consumer<String> log, Disk disk,
+                       LongSupplier nanos) {
+        UseStore store = new UseStore(folder, node, pool, nowMs, log, disk, nanos);
         return new Opened(store, store.adopt(nowMs));
     }
 
@@ -172,9 +184,20 @@
         }
 
         /** What none of the others has taken over before, and the counter still knows the names of. */
-        List<Balance> balances(long nowMs) {
-            return contents.stream().filter(one -> !absorbed.contains(one.origin().begun()))
-                .flatMap(one -> one.balances().stream()).filter(b -> nowMs - b.at() <= MOST_AGE_MS).toList();
+        List<Balance> balances(long nowMs, int nowSteady, long nowNoted) {
+            List<Balance> balances = new ArrayList<>();
+            for (Contents one : contents) {
+                if (absorbed.contains(one.origin().begun())) {
+                    continue;
+                }
+                for (Balance b : one.balances()) {
+                    long age = one.origin().age(b.at(), nowMs, nowSteady);
+                    if (age <= MOST_AGE_MS) {
+                        balances.add(new Balance(b.customer(), b.plan(), b.units(), nowNoted - age));
+                    }
+                }
+            }
+            return balances;
         }
 
         /** The files, each with its begin. */
@@ -238,12 +261,22 @@
         return untold;
     }
 
+    /** Times are noted by a clock that begins with the wall's and is not set with it: use that is not told ages by it. */
+    @Override
+    public long time(long wall) {
+        return startMs + (nanos.getAsLong() - startNanos) / NANOS_A_MS;
+    }
+
+    private int steady() {
+        return (int) (nanos.getAsLong() / NANOS_A_SECOND);
+    }
+
     private List<Balance> takeOver(long nowMs) throws IOException {
         try (Found found = find()) {
             if (found.contents.isEmpty()) {
                 return List.of();
             }
-            List<Balance> untold = found.balances(nowMs);
+            List<Balance> untold = found.balances(nowMs, steady(), time(nowMs));
             if (!book.absorb(found.begins(), untold, nowMs)) {
                 return List.of();
             }
@@ -311,9 +344,9 @@
             if (lock == null) {
                 return;
             }
-            if (!contents.origin().node().equals(origin.node()) || !contents.origin().pool().equals(origin.pool())) {
-                if (!contents.origin().node().equals(origin.node())) {
-                    leaveAlone(each, " is node " + contents.origin().node() + "'s record, this is " + origin.node());
+            if (!contents.origin().node().equals(node) || !contents.origin().pool().equals(pool)) {
+                if (!contents.origin().node().equals(node)) {
+                    leaveAlone(each, " is node " + contents.origin().node() + "'s record, this is " + node);
                 }
                 return;
             }
@@ -356,12 +389,12 @@
     private void create(long begin, List<Entry> first) throws IOException {
         byte[] image = new byte[SIZE];
         Sink to = Sink.of(image);
-        UseRecord.header(to, new Origin(origin.node(), origin.pool(), begin));
+        UseRecord.header(to, new Origin(node, pool, begin, steady()));
         for (int place = 0; place < first.size(); place++) {
             UseRecord.entry(to, place, first.get(place));
         }
         // One draft at most, also where none can be deleted.
-        Path draft = path(origin.begun(), ".draft"), whole = path(begin, SUFFIX);
+        Path draft = path(startMs, ".draft"), whole = path(begin, SUFFIX);
         FileChannel made = disk.open(draft, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
             StandardOpenOption.READ, StandardOpenOption.WRITE);
         try {
@@ -384,8 +417,7 @@
     }
 
     private Path path(long begin, String suffix) {
-        String pool = origin.pool().isEmpty() ? "pool" : origin.pool();
-        return folder.resolve(pool + "-" + begin + "-" + ProcessHandle.current().pid() + suffix);
+        return folder.resolve((pool.isEmpty() ? "pool" : pool) + "-" + begin + "-" + ProcessHandle.current().pid() + suffix);
     }
 
     private void discard(FileChannel made, Path draft) {
--- a/src/main/java/rushpin/quota/UseBook.java
+++ b/src/main/java/rushpin/quota/UseBook.java
@@ -28,6 +28,11 @@
          */
         int renew(List<Long> absorbed, List<Entry> open, long now);
 
+        /** The time to be noted for one that the wall's clock says; another's where that may be set. */
+        default long time(long wall) {
+            return wall;
+        }
+
         /** A line for the operators. */
         void log(String text);
     }
@@ -74,17 +79,17 @@
 
     /** Units were taken, or given back if below 0. */
     public void took(long customer, int plan, double units, long at) {
-        add(new Entry(Kind.TOOK, plan, customer, units, at));
+        add(new Entry(Kind.TOOK, plan, customer, units, port.time(at)));
     }
 
     /** The counter is about to be called. */
     public void telling(long customer, double units, long at) {
-        add(new Entry(Kind.TELLING, plan(customer), customer, units, at));
+        add(new Entry(Kind.TELLING, plan(customer), customer, units, port.time(at)));
     }
 
     /** A call has ended; {@code added} unless it is known that nothing was. */
     public void told(long customer, double units, boolean added, long at) {
-        add(new Entry(added ? Kind.TOLD : Kind.UNTOLD, plan(customer), customer, units, at));
+        add(new Entry(added ? Kind.TOLD : Kind.UNTOLD, plan(customer), customer, units, port.time(at)));
     }
 
     private int plan(long customer) {
@@ -134,7 +139,7 @@
 
     /** Takes over what other records held, all or nothing; false for nothing: they are still theirs. */
     public boolean absorb(List<Long> begins, List<Balance> balances, long at) {
-        return renew(begins, balances, at);
+        return renew(begins, balances, port.time(at));
     }
 
     /** Whether something that is open is not stored: to be tried again by {@link #catchUp}. */
@@ -145,7 +150,7 @@
     /** Stores all that is open, if some of it is not stored. */
     public void catchUp(long at) {
         if (behind) {
-            renew(List.of(), List.of(), at);
+            renew(List.of(), List.of(), port.time(at));
         }
     }
 
--- a/src/main/java/rushpin/quota/UseRecord.java
+++ b/src/main/java/rushpin/quota/UseRecord.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,13 +12,14 @@
  * fixed size stand one behind another, each with its place and a checksum, so that a record cut at any byte says what
  * was whole. Bytes in, values out; no I/O.
  *
- * <p>A header of {@link #HEADER} bytes: magic, version, the time it was begun, the node's and the pool's name, a checksum.
+ * <p>A header of {@link #HEADER} bytes: magic, version, the time it was begun, the node's and the pool's name, the same
+ * time by the machine's steady clock, a checksum.
  */
 public final class UseRecord {
     /** Bytes of the header and of an entry. */
     public static final int HEADER = 128, ENTRY = 40;
     private static final long MAGIC = 0x5255535045_0001L;
-    private static final int MOST_NAME = 48, CHECKED = 32;
+    private static final int MOST_NAME = 48, CHECKED = 32, STEADY = 120;
 
     /** What an entry says. */
     public enum Kind {
@@ -39,8 +39,31 @@
     public record Entry(Kind kind, int plan, long customer, double units, long at) {
     }
 
-    /** Where a record comes from. */
-    public record Origin(String node, String pool, long begun) {
+    /**
+     * Where a record comes from. Names of more than {@value #MOST_NAME} bytes stand for themselves by their beginning and a
+     * checksum.
+     *
+     * @param begun in milliseconds of the wall's clock
+     * @param steady the same moment in seconds of a clock that nobody sets, as all processes of the machine have it since it
+     *     was booted; 0 where that is not known
+     */
+    public record Origin(String node, String pool, long begun, int steady) {
+        public Origin {
+            node = shortened(node);
+            pool = shortened(pool);
+        }
+
+        /** One whose steady time is not known. */
+        public Origin(String node, String pool, long begun) {
+            this(node, pool, begun, 0);
+        }
+
+        /** How old an entry of this record is: by the clock that says less, as the wall's may have been set, and not below 0. */
+        public long age(long at, long nowMs, int nowSteady) {
+            long byWall = nowMs - at;
+            long bySteady = steady == 0 ? byWall : (nowSteady - steady) * 1_000L - (at - begun);
+            return Math.max(0, Math.min(byWall, bySteady));
+        }
     }
 
     /** Use of a customer that the counter may not know of. */
@@ -73,12 +96,23 @@
             to.put(24 + i, i < node.length ? node[i] : 0);
             to.put(24 + MOST_NAME + i, i < pool.length ? pool[i] : 0);
         }
+        to.putInt(STEADY, origin.steady());
         to.putInt(HEADER - 4, checksum(to.copy(0, HEADER - 4)));
     }
 
     private static byte[] name(String text) {
-        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        return bytes.length <= MOST_NAME ? bytes : Arrays.copyOf(bytes, MOST_NAME);
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String shortened(String text) {
+        byte[] bytes = name(text);
+        if (bytes.length <= MOST_NAME) {
+            return text;
+        }
+        String sum = String.format("~%08x", checksum(bytes));
+        String begin = new String(bytes, 0, MOST_NAME - sum.length(), StandardCharsets.UTF_8);
+        // A character that was cut in two is left out.
+        return begin.replace("\uFFFD", "") + sum;
     }
 
     /** Writes the entry of a place, counted from 0; its checksum is the last that is written of it. */
@@ -121,7 +155,7 @@
             return new Contents(null, List.of(), List.of(), 0, false);
         }
         Origin origin = new Origin(text(bytes, 24, from.getInt(16)), text(bytes, 24 + MOST_NAME, from.getInt(20)),
-            from.getLong(8));
+            from.getLong(8), from.getInt(STEADY));
         int places = (bytes.length - HEADER) / ENTRY, whole = 0;
         while (whole < places && isWhole(from, whole)) {
             whole++;
