--- a/src/main/java/rushpin/net/xds/XdsSource.java
+++ b/src/main/java/rushpin/net/xds/XdsSource.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import rushpin.gateway.Ports.ListKind;
 import rushpin.membership.Member;
 import rushpin.membership.Names;
@@ -35,6 +36,7 @@
     private static final long LOOK_MS = 500;
 
     private final XdsPlan plan;
+    private final LongSupplier wallMs;
     private final DiscoveryClient.Listener pool;
     private final EventLoop loop;
     private final String name;
@@ -49,10 +51,14 @@
     private boolean saving;
     private volatile boolean heard, closed;
 
-    /** Connects nowhere yet; {@code known} is the list as last known, {@code state} the folder that keeps it, or null. */
+    /**
+     * Connects nowhere yet; {@code known} is the list as last known, {@code state} the folder that keeps it, or null,
+     * {@code wallMs} the machine's clock, Unix milliseconds, by which servers that are new are dated.
+     */
     public XdsSource(XdsPlan plan, String pool, Names names, List<Member> known, Path state, long seed, EventLoop loop,
-                     DiscoveryClient.Listener listener) {
+                     DiscoveryClient.Listener listener, LongSupplier wallMs) {
         this.plan = plan;
+        this.wallMs = wallMs;
         this.pool = listener;
         this.loop = loop;
         name = pool;
@@ -217,8 +223,8 @@
         }
     }
 
-    private static long wall() {
-        return System.currentTimeMillis() * MS;
+    private long wall() {
+        return wallMs.getAsLong() * MS;
     }
 
     @Override
--- a/src/main/java/rushpin/node/Pool.java
+++ b/src/main/java/rushpin/node/Pool.java
@@ -214,7 +214,7 @@
                 processes = now;
                 event(null, at -> gateway.processes(at, now));
             }
-            for (Beside.Gift gift : desk.beside().take(plan.name(), System.currentTimeMillis())) {
+            for (Beside.Gift gift : desk.beside().take(plan.name(), clock.wallMs())) {
                 event(null, at -> gateway.inherit(at, gift.customer(), gift.plan(), gift.setSize(), gift.units()));
             }
             deskTrouble = false;
@@ -271,12 +271,12 @@
     void start(Roll known, Path state, String node) {
         gateway = new Gateway(plan.settings(), plan.seed(), now(), this);
         UseStore.Opened opened = state == null ? null
-            : UseStore.open(state, node, plan.name(), System.currentTimeMillis(), this::log);
+            : UseStore.open(state, node, plan.name(), clock.wallMs(), this::log);
         if (opened != null) {
             use = opened.store();
             tellings = new Tellings(use.book());
             restore(opened.untold());
-            adoption = loop.scheduleAtFixedRate(() -> restore(use.adopt(System.currentTimeMillis())), ADOPT, ADOPT,
+            adoption = loop.scheduleAtFixedRate(() -> restore(use.adopt(clock.wallMs())), ADOPT, ADOPT,
                 TimeUnit.NANOSECONDS);
         }
         if (plan.xds() != null) {
@@ -296,7 +296,7 @@
         List<Member> members = known.members();
         List<Member> kept = state == null ? List.of() : new LastGood(state, plan.name(), names()).read(this::log);
         members = kept.isEmpty() ? members : kept;
-        xds = new XdsSource(plan.xds(), plan.name(), names(), members, state, plan.seed(), loop, this);
+        xds = new XdsSource(plan.xds(), plan.name(), names(), members, state, plan.seed(), loop, this, clock::wallMs);
         // The first of all lists goes the way of all others: another pool may have a word in it.
         list(new Roll(0, true, members), ListKind.CACHED);
         xds.start(!members.isEmpty());
@@ -556,7 +556,7 @@
     void apply(Roll roll, ListKind kind) {
         if (!closed) {
             followClock();
-            Roll carried = starts.carry(roll, kind != ListKind.DELTA, ahead);
+            Roll carried = starts.carry(roll, kind != ListKind.DELTA, clock.now(), ahead);
             tell(withheld == null ? carried : withheld.follow(carried, kind != ListKind.DELTA), kind);
         }
     }
@@ -716,7 +716,7 @@
 
     private void counted(long name, Outcome outcome, double total) {
         if (use != null) {
-            tellings.ended(name, outcome, System.currentTimeMillis());
+            tellings.ended(name, outcome, clock.wallMs());
         }
         event(null, now -> gateway.counted(now, name, outcome, total));
     }
@@ -814,7 +814,7 @@
     @Override
     public void count(long customer, long name, double amount, long lifetime) {
         if (use != null) {
-            tellings.begins(customer, name, amount, System.currentTimeMillis());
+            tellings.begins(customer, name, amount, clock.wallMs());
         }
         counter.count(name, amount, lifetime);
     }
@@ -823,7 +823,7 @@
     @Override
     public void took(long customer, int plan, int setSize, double units) {
         if (use != null && units != 0) {
-            use.book().took(customer, plan & 0xff | (setSize & 0xff) << 8, units, System.currentTimeMillis());
+            use.book().took(customer, plan & 0xff | (setSize & 0xff) << 8, units, clock.wallMs());
         }
     }
 
--- a/src/main/java/rushpin/traffic/Recorder.java
+++ b/src/main/java/rushpin/traffic/Recorder.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import org.apache.avro.file.CodecFactory;
 import org.apache.avro.file.DataFileWriter;
@@ -24,7 +26,9 @@
 public final class Recorder implements AutoCloseable {
     private static final int QUEUE = 4_096, BLOCK_BYTES = 32_768, DEFLATE = 1;
     private static final long BLOCK_MS = 1_000, AGAIN_MS = 10_000, END_MS = 2_000;
+    private static final long MS = 1_000_000L;
     private static final String SUFFIX = ".avro";
+    private static final Pattern STAMP = Pattern.compile("(\\d{13})-");
 
     private final Keeping keeping;
     private final String node;
@@ -37,7 +41,7 @@
     /** The thread's own. */
     private DataFileWriter<GenericRecord> file;
     private Path path;
-    private long againAt, blockAt, told;
+    private long againAt = System.nanoTime(), blockAt, told;
     private int serial, inBlock;
 
     /** Begins; {@code log} is told of trouble, a line at a time. Throws if the key can't be read: pseudonyms would differ. */
@@ -91,7 +95,7 @@
                 if (entry != null) {
                     write(entry);
                 }
-                if (inBlock > 0 && System.currentTimeMillis() - blockAt >= BLOCK_MS) {
+                if (inBlock > 0 && System.nanoTime() - blockAt >= BLOCK_MS * MS) {
                     endBlock();
                 }
             } catch (InterruptedException e) {
@@ -101,7 +105,7 @@
                 log.accept("records: " + e + "; begun anew in " + AGAIN_MS / 1_000 + " s");
                 dropped.addAndGet(Math.max(1, inBlock));
                 abandon();
-                againAt = System.currentTimeMillis() + AGAIN_MS;
+                againAt = System.nanoTime() + AGAIN_MS * MS;
             }
         }
         try {
@@ -114,18 +118,18 @@
     }
 
     private void write(Entry entry) throws IOException {
-        if (file == null && System.currentTimeMillis() < againAt) {
+        if (file == null && System.nanoTime() - againAt < 0) {
             drop();
             return;
         }
         if (file == null) {
-            open();
+            open(TimeUnit.MICROSECONDS.toMillis(entry.at()));
         }
         long now = dropped.get();
         file.append(Form.of(entry.written(pseudonyms.of(entry.customer()), now - told)));
         told = now;
         if (inBlock++ == 0) {
-            blockAt = System.currentTimeMillis();
+            blockAt = System.nanoTime();
         }
     }
 
@@ -138,8 +142,11 @@
         }
     }
 
-    /** Names of one node sort by age; the process's number keeps two of one node apart. */
-    private void open() throws IOException {
+    /**
+     * Names of one node sort by age, also where a start finds the machine's clock set back; the process's number keeps
+     * two of one node apart. {@code begun} is the time of the first request, Unix milliseconds.
+     */
+    private void open(long begun) throws IOException {
         List<Retention.Kept> kept = new ArrayList<>();
         try (Stream<Path> all = Files.list(keeping.folder())) {
             for (Path each : all.filter(each -> each.getFileName().toString().startsWith(prefix())).toList()) {
@@ -149,8 +156,8 @@
         for (String name : Retention.surplus(kept, keeping)) {
             Files.deleteIfExists(keeping.folder().resolve(name));
         }
-        long begun = System.currentTimeMillis();
-        path = keeping.folder().resolve(String.format("%s%013d-%d-%04d%s", prefix(), begun, ProcessHandle.current().pid(),
+        long stamp = Math.max(begun, 1 + kept.stream().mapToLong(each -> stamp(each.name())).max().orElse(-1));
+        path = keeping.folder().resolve(String.format("%s%013d-%d-%04d%s", prefix(), stamp, ProcessHandle.current().pid(),
             serial++, SUFFIX));
         DataFileWriter<GenericRecord> made = new DataFileWriter<>(new GenericDatumWriter<>(Form.REQUEST));
         made.setCodec(CodecFactory.deflateCodec(DEFLATE)).setSyncInterval(BLOCK_BYTES);
@@ -159,6 +166,12 @@
             StandardOpenOption.WRITE));
     }
 
+    /** By which a file's name sorts; -1 for a name that is not of this form. */
+    private long stamp(String name) {
+        Matcher matcher = STAMP.matcher(name.substring(prefix().length()));
+        return matcher.lookingAt() ? Long.parseLong(matcher.group(1)) : -1;
+    }
+
     private String prefix() {
         return node.replaceAll("[^A-Za-z0-9._]", "_") + "-";
     }
--- a/src/test/java/rushpin/membership/StartsTest.java
+++ b/src/test/java/rushpin/membership/StartsTest.java
@@ -2,16 +2,19 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetSocketAddress;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import rushpin.gateway.Ports.Readiness;
 import rushpin.gateway.Ports.Server;
 
 /** Starts that the machines' clock has dated, by a clock that goes on. */
 class StartsTest {
-    private static final long HOUR = 3_600_000_000_000L;
+    private static final long SECOND = 1_000_000_000L, HOUR = 3_600 * SECOND, NOW = 5 * HOUR;
 
     private static Roll roll(Readiness readiness, String id, long started) {
         return new Roll(1, true, List.of(new Member(new Server(id, 1, 0, 0, 0, readiness, started),
@@ -25,37 +28,62 @@
     @Test
     void withoutAJumpTheListStaysTheVeryList() {
         Roll roll = roll(Readiness.READY, "a", 5 * HOUR);
-        assertSame(roll, new Starts().carry(roll, true, 0));
+        assertSame(roll, new Starts().carry(roll, true, NOW, 0));
     }
 
     @Test
     void aStartAfterAJumpIsDatedByThisNodesClock() {
         Starts starts = new Starts();
-        assertEquals(5 * HOUR, start(starts.carry(roll(Readiness.READY, "a", 6 * HOUR), true, HOUR)), "set forward by an hour");
-        assertEquals(5 * HOUR, start(starts.carry(roll(Readiness.READY, "b", 4 * HOUR), true, -HOUR)), "set back by an hour");
+        assertEquals(5 * HOUR, start(starts.carry(roll(Readiness.READY, "a", 6 * HOUR), true, NOW, HOUR)), "set forward by an hour");
+        assertEquals(5 * HOUR, start(starts.carry(roll(Readiness.READY, "b", 4 * HOUR), true, NOW, -HOUR)), "set back by an hour");
     }
 
     @Test
     void theSameListToldAgainAfterAJumpMakesNothingColdOrWarm() {
         Starts starts = new Starts();
-        long before = start(starts.carry(roll(Readiness.READY, "a", 5 * HOUR), true, 0));
-        assertEquals(before, start(starts.carry(roll(Readiness.READY, "a", 5 * HOUR), true, HOUR)));
-        assertEquals(before, start(starts.carry(roll(Readiness.READY, "a", 5 * HOUR), true, -HOUR)));
+        long before = start(starts.carry(roll(Readiness.READY, "a", 5 * HOUR), true, NOW, 0));
+        assertEquals(before, start(starts.carry(roll(Readiness.READY, "a", 5 * HOUR), true, NOW, HOUR)));
+        assertEquals(before, start(starts.carry(roll(Readiness.READY, "a", 5 * HOUR), true, NOW, -HOUR)));
+    }
+
+    /** What was set is unknown: this machine's clock alone, or all machines'. */
+    @ParameterizedTest
+    @ValueSource(longs = {SECOND, -SECOND, 10 * SECOND, -10 * SECOND, HOUR, -HOUR})
+    void aColdServerIsNeverTakenForAWarmOneWhicheverClocksWereSet(long set) {
+        for (long age : new long[] {0, SECOND / 2, 5 * SECOND, 11 * SECOND, HOUR / 2, 2 * HOUR}) {
+            long started = NOW - age;
+            for (long told : new long[] {started, started + set}) {
+                long here = start(new Starts().carry(roll(Readiness.READY, "a", told), true, NOW, set));
+                assertTrue(here >= started, "set by " + set + ", told " + (told - NOW) + ": older by " + (started - here));
+                assertTrue(here <= NOW, "not in the future");
+                assertTrue(here - started <= Math.abs(set), "no younger than the clock was set by");
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {SECOND, -SECOND, 10 * SECOND, -10 * SECOND, HOUR, -HOUR, 0})
+    void aStartThatLiesInTheFutureIsAsOfNowAndStaysSo(long set) {
+        Starts starts = new Starts();
+        Roll ahead = roll(Readiness.READY, "a", NOW + 2 * HOUR);
+        assertEquals(NOW, start(starts.carry(ahead, true, NOW, set)));
+        assertEquals(NOW, start(starts.carry(ahead, true, NOW + 3 * HOUR, set)), "told again, it is no other start");
+        assertEquals(NOW + 1, start(starts.carry(roll(Readiness.READY, "a", NOW + 3 * HOUR), true, NOW + 1, set)), "a restart");
     }
 
     @Test
     void longAgoStaysLongAgo() {
-        assertEquals(0, start(new Starts().carry(roll(Readiness.READY, "a", 0), true, HOUR)));
+        assertEquals(0, start(new Starts().carry(roll(Readiness.READY, "a", 0), true, NOW, HOUR)));
     }
 
     @Test
     void whatIsGoneIsForgotten() {
         Starts starts = new Starts();
-        starts.carry(roll(Readiness.READY, "a", 5 * HOUR), false, 0);
-        starts.carry(roll(Readiness.GONE, "a", 5 * HOUR), false, 0);
+        starts.carry(roll(Readiness.READY, "a", 5 * HOUR), false, NOW, 0);
+        starts.carry(roll(Readiness.GONE, "a", 5 * HOUR), false, NOW, 0);
         assertEquals(0, starts.size());
-        starts.carry(roll(Readiness.READY, "a", 5 * HOUR), false, 0);
-        starts.carry(new Roll(2, true, List.of()), true, 0);
+        starts.carry(roll(Readiness.READY, "a", 5 * HOUR), false, NOW, 0);
+        starts.carry(new Roll(2, true, List.of()), true, NOW, 0);
         assertEquals(0, starts.size());
     }
 }
--- a/src/test/java/rushpin/node/ClockTest.java
+++ b/src/test/java/rushpin/node/ClockTest.java
@@ -32,6 +32,22 @@
         assertEquals(0, clock.ahead(), "less than that is how coarse the wall's clock is");
     }
 
+    /** A process that stands still between its two readings would take that for a clock that was set. */
+    @ParameterizedTest
+    @ValueSource(longs = {1_000, 10_000, HOUR_MS})
+    void aStallWhileTheClocksAreReadIsNoJump(long stallMs) {
+        AtomicLong real = new AtomicLong(HOUR_MS), stall = new AtomicLong();
+        Clock stalled = new Clock(() -> {
+            long read = real.get();
+            real.addAndGet(stall.getAndSet(0));
+            return read;
+        }, () -> TimeUnit.MILLISECONDS.toNanos(real.get()));
+        stall.set(stallMs);
+        assertEquals(0, stalled.ahead());
+        assertEquals(TimeUnit.MILLISECONDS.toNanos(HOUR_MS + stallMs), stalled.now());
+        assertEquals(HOUR_MS + stallMs, stalled.wallMs());
+    }
+
     /** What is in flight neither expires nor lives on; a server that starts after the jump has its share in time. */
     @ParameterizedTest
     @ValueSource(longs = {HOUR_MS, -HOUR_MS})
--- a/src/test/java/rushpin/traffic/RecorderTest.java
+++ b/src/test/java/rushpin/traffic/RecorderTest.java
@@ -17,6 +17,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Files as nodes write them, and what becomes of those that a crash, a disk or another version has spoilt. */
 class RecorderTest {
@@ -124,6 +126,27 @@
         assertTrue(Recorded.read(folder.resolve("records")).notes().get(0).contains("begins 80 s before"));
     }
 
+    /** The machine's clock is set by so many seconds between two processes of one node. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, -1, 10, -10, 3_600, -3_600})
+    void theOldestFileGoesFirstWhicheverWayTheClockWasSet(long set) throws Exception {
+        long begun = 1_800_000_000_000L, after = begun + 1_000 * set;
+        record(keeping(100, 1 << 20), begun);
+        long bytes = Files.size(files().get(0));
+        // Room for one old file beside the one that is begun.
+        Keeping small = keeping(100, 125 + bytes * 3 / 2);
+        record(small, after);
+        record(small, after + 1);
+        assertEquals(List.of(1_000 * after, 1_000 * (after + 1)),
+            Recorded.read(folder.resolve("records")).entries().stream().map(Entry::at).sorted().toList());
+    }
+
+    private void record(Keeping keeping, long atMs) throws Exception {
+        try (Recorder recorder = recorder("n1", keeping)) {
+            recorder.offer(entry("n1", 1_000 * atMs, 1));
+        }
+    }
+
     @Test
     void aFullQueueDropsAndTheNextRecordSaysHowMany() throws Exception {
         Recorder recorder = recorder("n1", keeping(1 << 24, 1 << 27));
