--- a/src/main/java/rushpin/net/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -16,7 +16,6 @@
 import io.netty.channel.ServerChannel;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -41,7 +40,6 @@
 import java.net.StandardSocketOptions;
 import java.net.UnixDomainSocketAddress;
 import java.nio.channels.ServerSocketChannel;
-import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -68,6 +66,9 @@
     private static final Class<?> TOLD_BY = Trouble.class;
     /** How soon accepting is tried again where it failed. */
     private static final long AGAIN = 250 * MS;
+    /** The same at the end, when what waits in the queue is taken: how soon, and how often in all. */
+    private static final long TAKE_AGAIN = 5 * MS;
+    private static final int MOST_TAKES = 20;
     /** For how long requests are decoded before the loop looks at its sockets again. */
     private static final long SLICE = MS;
     /**
@@ -92,6 +93,7 @@
     /** When it was last said that a connection could not be taken. */
     private long untaken = System.nanoTime() - 2 * AGAIN;
     private Channel listening;
+    private final Acceptor acceptor;
     /** The listening socket if it is this process's own, be it beside others' at the same address; else null. */
     private ServerSocketChannel own;
     private boolean draining;
@@ -107,6 +109,13 @@
      */
     public ClientServer(Front node, EventLoop loop, SocketAddress listen, int sockets, ByteBudget budget,
                         boolean byTurns) {
+        this(node, loop, listen, sockets, budget, byTurns, ServerSocketChannel::accept);
+    }
+
+    /** As above; accepts by way of {@code accepts}. */
+    ClientServer(Front node, EventLoop loop, SocketAddress listen, int sockets, ByteBudget budget, boolean byTurns,
+                 Acceptor.Source accepts) {
+        acceptor = new Acceptor(accepts);
         this.node = node;
         this.budget = budget;
         // As much again as requests may hold.
@@ -126,13 +135,18 @@
         boolean stood = now - swept > STOOD;
         swept = now;
         if (!stood) {
-            for (Session session : List.copyOf(sessions)) {
-                try {
-                    session.limit();
-                } catch (RuntimeException e) {
-                    // One connection's trouble: the others are to be looked at all the same, now and later.
-                    session.exceptionCaught(null, e);
-                }
+            endOverdue(now);
+        }
+    }
+
+    /** Ends what has taken too long at a moment; on the loop. */
+    void endOverdue(long now) {
+        for (Session session : List.copyOf(sessions)) {
+            try {
+                session.limit(now);
+            } catch (RuntimeException e) {
+                // One connection's trouble: the others are to be looked at all the same, now and later.
+                session.exceptionCaught(null, e);
             }
         }
     }
@@ -166,7 +180,7 @@
     /** Accepts at a socket that listens already, and is others' too: they share one queue. */
     public CompletableFuture<Void> acceptAt(ServerSocketChannel passed) {
         return told(accepting(new ServerBootstrap().group(loop)
-            .channelFactory((ChannelFactory<ServerChannel>) () -> new NioServerSocketChannel(passed))
+            .channelFactory((ChannelFactory<ServerChannel>) () -> new ListeningChannel(passed, acceptor))
             .childOption(ChannelOption.TCP_NODELAY, true)).register());
     }
 
@@ -263,21 +277,45 @@
      * listens at the same address: so all of it is taken first. What comes between this and the close, or is in the
      * middle of its handshake, is lost still, and so is what goes beyond {@code places}.
      */
-    private void takeWhatWaits(int places) {
-        try {
-            SocketChannel next = own == null || places <= 0 ? null : own.accept();
-            for (int i = 1; next != null; i++) {
-                listening.pipeline().fireChannelRead(new NioSocketChannel(listening, next));
-                next = i < places ? own.accept() : null;
+    private void takeWhatWaits(int places) throws IOException {
+        for (int taken = 0; taken < places; taken++) {
+            NioSocketChannel next = ((ListeningChannel) listening).next(own);
+            if (next == null) {
+                return;
             }
-            if (own != null) {
-                // At once, and not by way of the pipeline: each microsecond counts here.
-                own.close();
-                own = null;
+            listening.pipeline().fireChannelRead(next);
+        }
+    }
+
+    /** Takes what waits and closes the socket, at the latest when taking has failed so many times more. */
+    private void takeAndClose(boolean idleToo, int tries) {
+        try {
+            // One place less than the bound: at it, a newcomer would end one that waits to be read.
+            takeWhatWaits(idleToo ? most - 1 - sessions.size() : BACKLOG + 1);
+        } catch (IOException e) {
+            if (tries > 1) {
+                // Descriptors may be wanting: those of the connections that rest are free after the selector's next pass.
+                leave(idleToo);
+                loop.schedule(() -> takeAndClose(idleToo, tries - 1), TAKE_AGAIN, TimeUnit.NANOSECONDS);
+                return;
             }
+            Trouble.report("connections that wait are not taken", e);
+        }
+        closeOwn();
+        listening.close();
+        letting = false;
+        leave(idleToo);
+        node.connectionEnded(open());
+    }
+
+    /** At once, and not by way of the pipeline: each microsecond counts here. */
+    private void closeOwn() {
+        try {
+            own.close();
         } catch (IOException e) {
             Trouble.report("the listening socket", e);
         }
+        own = null;
     }
 
     /**
@@ -294,14 +332,8 @@
         // A socket that a selector knows goes on taking connections after its close, until the selector's next pass, and resets them.
         letting = true;
         listening.config().setAutoRead(false);
-        listening.deregister().addListener(let -> loop.schedule(() -> {
-            // One place less than the bound: at it, a newcomer would end one that waits to be read.
-            takeWhatWaits(idleToo ? most - 1 - sessions.size() : BACKLOG + 1);
-            listening.close();
-            letting = false;
-            leave(idleToo);
-            node.connectionEnded(open());
-        }, 1, TimeUnit.NANOSECONDS));
+        listening.deregister().addListener(let -> loop.schedule(() -> takeAndClose(idleToo, MOST_TAKES), 1,
+            TimeUnit.NANOSECONDS));
     }
 
     private void leave(boolean idleToo) {
@@ -323,24 +355,43 @@
      * that connect and say nothing would hold every place, and nobody else would ever be let in.
      */
     private boolean makeRoom(Session newest) {
+        // One that turns out to have spoken is no candidate any more; no more are asked than there are.
+        for (int asked = sessions.size(); asked > 0; asked--) {
+            Session least = leastWanted(newest);
+            if (least == null) {
+                return false;
+            }
+            if (least.asked) {
+                least.leave();
+            } else {
+                least.leaveUnasked();
+            }
+            if (!least.channel.isOpen()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private Session leastWanted(Session newest) {
         Session least = null;
         for (Session session : sessions) {
-            if (session == newest || session.closing || session.current != null) {
+            if (session == newest || session.closing || session.current != null || !session.channel.isOpen()) {
                 continue;
             }
             if (!session.asked) {
+                if (session.queued) {
+                    // What it brought waits for its pool's turn.
+                    continue;
+                }
                 least = session;
                 break;
             }
-            if (session.isBetween() && (least == null || session.since - least.since < 0)) {
+            if (session.rests() && (least == null || session.since - least.since < 0)) {
                 least = session;
             }
         }
-        if (least != null) {
-            least.closing = true;
-            least.channel.close();
-        }
-        return least != null;
+        return least;
     }
 
     /**
@@ -393,18 +444,41 @@
             return current == null && !begun;
         }
 
+        /** No part of a request is here. What waits behind an answer is one, unless its client takes no answers. */
+        private boolean rests() {
+            return isBetween() && !closing && (decoder.held() == 0 || !channel.isWritable());
+        }
+
         /** Ends between requests. Each is asked just before its own end: those before it took time. */
         private void leave() {
-            if (isBetween() && !closing) {
-                // What came since the loop's last look would be reset by a close, and what is answered is no loss.
-                ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+            if (rests()) {
+                read();
             }
-            if (isBetween() && !closing) {
-                closing = true;
-                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            if (rests()) {
+                end();
             }
         }
 
+        /** Ends one that never brought a whole request, even if a part of one is here. */
+        private void leaveUnasked() {
+            if (!closing) {
+                read();
+            }
+            if (!asked && !queued && !closing) {
+                end();
+            }
+        }
+
+        /** What came since the loop's last look would be reset by a close, and what is answered is no loss. */
+        private void read() {
+            ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+        }
+
+        private void end() {
+            closing = true;
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext context) {
             sessions.add(this);
@@ -479,8 +553,7 @@
         }
 
         /** Ends what takes too long. Never while a request is open: that would lose it. */
-        private void limit() {
-            long now = System.nanoTime();
+        private void limit(long now) {
             if (upload != null && upload.isStuck()) {
                 breakOff();
                 refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "nobody takes the body");
@@ -495,8 +568,12 @@
                     cut(current);
                 }
             } else if (now - since > IDLE) {
-                closing = true;
-                channel.close();
+                if (closing) {
+                    // Its client does not take its last answer.
+                    channel.close();
+                } else {
+                    leave();
+                }
             }
         }
 
