--- a/src/main/java/rushpin/net/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -433,6 +433,9 @@
         /** The pool that its last request went to, whose time its next one takes; whether it waits for that. */
         private String line = "";
         private boolean queued;
+        /** How often bytes came, and whether some that were sent are unread, so that its client may have left unseen. */
+        private int reads;
+        private boolean blind;
         /** Bytes that a turn has left as the beginning of something: no reason for another turn. */
         private int decoded, handled;
 
@@ -491,13 +494,14 @@
 
         /** After each read. A client that sends ahead is not read from any more until its turn comes. */
         private void arrived() {
+            reads++;
             if (isBetween() && !closing && decoder.held() > 0) {
                 begin();
             }
             account();
             queue();
-            if ((current != null && upload == null || queued) && decoder.held() > 0
-                && (decoder.held() > MOST_AHEAD || !budget.allows(decoder.held()))) {
+            if ((current != null && upload == null || queued) && decoder.held() > 0 && isFarAhead()) {
+                blind |= current != null;
                 channel.config().setAutoRead(false);
             } else if (head != null && current == null && !closing && !budget.allows(held)) {
                 if (body.size() >= LEAST_KEPT) {
@@ -508,6 +512,26 @@
             }
         }
 
+        private boolean isFarAhead() {
+            return decoder.held() > MOST_AHEAD || !budget.allows(decoder.held());
+        }
+
+        /**
+         * Reads what was sent ahead to its end, if it isn't too much: a client that has left is to be seen before what it
+         * sent is forwarded. Nothing is decoded meanwhile.
+         */
+        private void readAhead() {
+            while (channel.isActive() && !isFarAhead()) {
+                int before = reads;
+                blind = true;
+                read();
+                if (reads == before) {
+                    blind = false;
+                    return;
+                }
+            }
+        }
+
         /** Where loops are shared, what has come waits for its pool's turn. */
         private void queue() {
             if (turns != null && !queued && (current == null || upload != null) && !closing && decoder.held() > decoded) {
@@ -683,6 +707,11 @@
                 }
                 return;
             }
+            if (blind) {
+                content.release();
+                refuseUnseen(more);
+                return;
+            }
             try {
                 Front.Way way = node.route(whole);
                 line = way.service().name();
@@ -707,6 +736,15 @@
             }
         }
 
+        /** Its client is so far ahead that it may have left: what is forwarded could be nobody's. */
+        private void refuseUnseen(boolean more) {
+            if (more) {
+                refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much is sent ahead");
+            } else {
+                write(HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER, 0);
+            }
+        }
+
         /** Turns away what is no request. Nothing behind it is read: it may be a part of it. */
         private void refuse(HttpResponseStatus status, String why) {
             keepAlive = false;
@@ -831,6 +869,12 @@
                 return;
             }
             channel.config().setAutoRead(true);
+            if (decoder.isPaused() && (decoder.held() > 0 || blind)) {
+                readAhead();
+                if (!channel.isActive()) {
+                    return;
+                }
+            }
             if (turns != null) {
                 queue();
                 return;
@@ -844,7 +888,8 @@
 
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext context) {
-            next();
+            // Not within the write, or the read, that changed it.
+            loop.execute(this::next);
         }
 
         @Override
--- a/src/main/java/rushpin/net/RequestDecoder.java
+++ b/src/main/java/rushpin/net/RequestDecoder.java
@@ -53,6 +53,11 @@
         return actualReadableBytes();
     }
 
+    /** Whether what comes waits undecoded. */
+    boolean isPaused() {
+        return paused;
+    }
+
     /** Goes on with what came meanwhile. */
     void resume() throws Exception {
         paused = false;
