--- a/src/main/java/rushpin/net/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -92,6 +92,8 @@
     private int gone;
     /** When it was last said that a connection could not be taken. */
     private long untaken = System.nanoTime() - 2 * AGAIN;
+    /** Accepting has failed, and goes on in a moment. */
+    private boolean pausing;
     private Channel listening;
     private final Acceptor acceptor;
     /** The listening socket if it is this process's own, be it beside others' at the same address; else null. */
@@ -190,10 +192,7 @@
             .handler(new ChannelInboundHandlerAdapter() {
                 @Override
                 public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-                    // Those who wait are tried again when a connection has ended, or soon; the selector would ask at once.
-                    context.channel().config().setAutoRead(false);
-                    loop.schedule(() -> context.channel().config().setAutoRead(!stopped && sessions.size() < most), AGAIN,
-                        TimeUnit.NANOSECONDS);
+                    pauseAccepting(context.channel());
                     if (System.nanoTime() - untaken > AGAIN) {
                         untaken = System.nanoTime();
                         Trouble.report("a new connection is not taken", cause);
@@ -210,6 +209,19 @@
             });
     }
 
+    /** Those who wait are tried again when a connection has ended, or soon; the selector would ask at once. */
+    private void pauseAccepting(Channel at) {
+        at.config().setAutoRead(false);
+        // One look is enough: with one for each failure, failures would breed looks, and looks failures.
+        if (!pausing) {
+            pausing = true;
+            loop.schedule(() -> {
+                pausing = false;
+                at.config().setAutoRead(!stopped && sessions.size() < most);
+            }, AGAIN, TimeUnit.NANOSECONDS);
+        }
+    }
+
     /** Of the sockets that have gone since the loop's last look the descriptors are held until its next one. */
     private int places() {
         return most - sessions.size() - gone;
--- a/src/test/java/rushpin/net/ClientServerTest.java
+++ b/src/test/java/rushpin/net/ClientServerTest.java
@@ -37,6 +37,8 @@
     /** Of 16 descriptors 8 are clients'; of these 4 may rest. */
     private static final int SOCKETS = 16, MOST_CLIENTS = 8, MOST_RESTING = 4;
     private static final int MANY_SOCKETS = 1_024;
+    /** Connections that end while accepting fails; milliseconds of four pauses, and how many tries may fall into them. */
+    private static final int ENDING = 40, PAUSES = 1_000, MOST_TRIES = 8;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -241,4 +243,58 @@
         assertClosed(at);
         assertTrue(calls.get() < 100, "tried " + calls);
     }
+
+    /** Each connection that ends is a reason to try again at once, but not one to try for ever. */
+    @Test
+    void failuresOfAcceptingDoNotBreedTriesAndItGoesOnBehindThem() throws Exception {
+        serve(MANY_SOCKETS);
+        for (int i = 0; i < ENDING; i++) {
+            Socket client = connect();
+            ask(client);
+            assertAnswered(client, "client " + i);
+        }
+        AtomicInteger tries = new AtomicInteger();
+        accepts = at -> {
+            tries.incrementAndGet();
+            throw new IOException(EMFILE);
+        };
+        Socket waiting = connect();
+        ask(waiting);
+        for (Socket client : clients.subList(0, ENDING)) {
+            int before = tries.get();
+            client.close();
+            while (tries.get() == before) {
+                Thread.onSpinWait();
+            }
+        }
+        int before = tries.get();
+        loop.schedule(() -> { }, PAUSES, TimeUnit.MILLISECONDS).get();
+        assertTrue(tries.get() - before <= MOST_TRIES, "tried " + (tries.get() - before) + " times");
+        accepts = ServerSocketChannel::accept;
+        assertAnswered(waiting, "who waited meanwhile");
+    }
+
+    /** Of a connection that was aborted only this one is lost. */
+    @Test
+    void anAbortedConnectionKeepsNobodyWaiting() throws Exception {
+        serve(MANY_SOCKETS);
+        for (String why : List.of(ECONNABORTED, EMFILE)) {
+            AtomicInteger left = new AtomicInteger(Acceptor.MOST_TRIES - 1);
+            AtomicInteger failedCalls = new AtomicInteger();
+            accepts = at -> {
+                if (left.getAndDecrement() > 0) {
+                    failedCalls.incrementAndGet();
+                    throw new IOException(why);
+                }
+                return at.accept();
+            };
+            if (why.equals(EMFILE)) {
+                left.set(1);
+            }
+            Socket client = connect();
+            ask(client);
+            assertAnswered(client, why);
+            assertEquals(why.equals(EMFILE) ? 1 : Acceptor.MOST_TRIES - 1, failedCalls.get());
+        }
+    }
 }
