--- a/src/main/java/rushpin/node/PooledServices.java
+++ b/src/main/java/rushpin/node/PooledServices.java
@@ -154,7 +154,7 @@
         }
         if (recorder != null) {
             // Each pool has the whole rate: what all of them offer beyond it finds the queue full.
-            pool.record(new Tap(recorder, node, plan.name(), recorder.mostPerSecond(), System.currentTimeMillis(), clock.now()));
+            pool.record(new Tap(recorder, node, plan.name(), recorder.mostPerSecond(), clock.wallMs(), clock.now()));
         }
         if (watcher != null) {
             pool.witness(new Witness(plan.name(), plan.upstream().names(), plan.settings(), clock::now, watcher));
--- a/src/main/java/rushpin/node/Rehearsal.java
+++ b/src/main/java/rushpin/node/Rehearsal.java
@@ -130,7 +130,7 @@
             SocketAddress address = file("s" + i);
             Transport.listening(loop, address).childHandler(handlers(() -> new ChannelHandler[] {
                 new HttpServerCodec(), new StandIn()})).bind(address).sync();
-            long started = i > 0 ? 0 : TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
+            long started = i > 0 ? 0 : new Clock().now();
             members.add(new Member(new Server("rehearsal-" + i, 1, i % Math.max(1, config.names().zones().size()), i, 0,
                 Readiness.READY, started), address));
         }
--- a/src/test/java/rushpin/ArchitectureTest.java
+++ b/src/test/java/rushpin/ArchitectureTest.java
@@ -3,7 +3,6 @@
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
 import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.tngtech.archunit.base.DescribedPredicate;
 import com.tngtech.archunit.core.domain.JavaAccess;
@@ -13,7 +12,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Who may import whom, and that deciders do no I/O. */
@@ -109,8 +107,6 @@
     private static final DescribedPredicate<JavaAccess<?>> CURRENT_TIME =
         DescribedPredicate.describe("System.currentTimeMillis", access -> access.getTargetOwner().isEquivalentTo(System.class)
             && access.getName().equals("currentTimeMillis"));
-    /** Each reads it in one line still, for which its owner has the change: docs/design/clocks.md, "Left". */
-    private static final Set<String> STILL_READ_THE_WALL_CLOCK = Set.of("rushpin.node.PooledServices", "rushpin.node.Rehearsal");
 
     /** All others are told the time, or go by the clock that never jumps. java.util.Timer goes by the wall's. */
     @Test
@@ -118,12 +114,8 @@
         String[] times = {"java\\.time\\..*", "java\\.util\\.(Date|Calendar|GregorianCalendar|Timer)"};
         noClasses().that().resideOutsideOfPackages("rushpin.rig..", "rushpin.study..", "rushpin.cli..", "rushpin.model..")
             .and().doNotHaveFullyQualifiedName("rushpin.node.Clock")
-            .and(DescribedPredicate.describe("are not to be mended yet", of -> !STILL_READ_THE_WALL_CLOCK.contains(of.getName())))
             .should().accessTargetWhere(CURRENT_TIME).orShould().dependOnClassesThat().haveNameMatching(String.join("|", times))
             .check(ALL);
-        for (String name : STILL_READ_THE_WALL_CLOCK) {
-            assertTrue(ALL.get(name).getAccessesFromSelf().stream().anyMatch(CURRENT_TIME), name + " is mended: take it off");
-        }
     }
 
     /** A wall clock that is set changes nothing between processes. */
