--- a/src/main/java/rushpin/net/DiscoveryClient.java
+++ b/src/main/java/rushpin/net/DiscoveryClient.java
@@ -89,13 +89,18 @@
 
     /** As above, with spans of one's own. */
     DiscoveryClient(Listener node, EventLoop loop, Names names, SocketAddress address, Spans spans) {
+        this(node, loop, names, address, spans, Transport.connecting(loop, address));
+    }
+
+    /** As above, by sockets of one's own. */
+    DiscoveryClient(Listener node, EventLoop loop, Names names, SocketAddress address, Spans spans, Bootstrap sockets) {
         this.node = node;
         this.loop = loop;
         this.names = names;
         this.address = address;
         this.spans = spans;
         // A connect that hangs is one more way of being silent, and has no clock of its own.
-        bootstrap = Transport.connecting(loop, address).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
+        bootstrap = sockets.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
     }
 
     /** Begins to watch from a revision on; called on the loop, as all else here. */
@@ -143,20 +148,20 @@
     }
 
     private static void leave(Watch old) {
-        if (old != null) {
+        if (old != null && old.channel != null) {
             old.channel.close();
         }
     }
 
     private Watch open() {
         Watch made = new Watch();
-        made.channel = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+        Bootstrap connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline().addLast(new HttpClientCodec(), made);
             }
-        }).connect(address).channel();
-        made.channel.closeFuture().addListener(ended -> ended(made));
+        });
+        made.channel = Transport.connect(connecting, loop, address, made);
         return made;
     }
 
@@ -217,10 +222,11 @@
     }
 
     /** One watch: a chunked answer that holds JSON objects, and empty lines while nothing changes. */
-    private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
+    private final class Watch extends SimpleChannelInboundHandler<HttpObject> implements Transport.ConnectListener {
         private final RollStream messages = new RollStream(names);
         /** Up to a tenth off each span, so that nodes that were left together do not come back in step. */
         private final double chance = 1 - ThreadLocalRandom.current().nextDouble() / 10;
+        /** Null where no socket could be had. */
         private Channel channel;
         /** When it was begun or last spoke, and when it was asked for; 0 for not yet. */
         private long last = System.nanoTime(), asked;
@@ -230,6 +236,21 @@
             return (long) (span * MS * chance);
         }
 
+        @Override
+        public void opened(Channel made) {
+            // Its handler asks.
+        }
+
+        @Override
+        public void failed(Throwable cause) {
+            // An outage, which ends in the same way.
+        }
+
+        @Override
+        public void ended() {
+            DiscoveryClient.this.ended(this);
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext context) {
             asked = System.nanoTime();
--- a/src/test/java/rushpin/net/DiscoveryClientTest.java
+++ b/src/test/java/rushpin/net/DiscoveryClientTest.java
@@ -5,15 +5,18 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -55,6 +58,7 @@
     private volatile Runnable still = () -> { };
     private ServerSocket listening;
     private DiscoveryClient client;
+    private final FailingSockets sockets = new FailingSockets();
 
     @BeforeEach
     void listen() throws IOException {
@@ -96,7 +100,8 @@
                 still.run();
             }
         }, loop, NAMES,
-            listening.getLocalSocketAddress(), new DiscoveryClient.Spans(silence, answer, 20, 60_000));
+            listening.getLocalSocketAddress(), new DiscoveryClient.Spans(silence, answer, 20, 60_000),
+            new Bootstrap().group(loop).channelFactory(sockets));
         loop.submit(() -> client.start(5)).get();
     }
 
@@ -205,4 +210,98 @@
         next("8").say(HEAD + list(10));
         assertHeard(10);
     }
+
+    /** No span is so short that it could help: only the wait behind an end leads to a further try. */
+    private void assertTriedAgainUntilItSucceeds() throws Exception {
+        int tries = 8;
+        // The waits' lower bounds: half of 100 ms, of 200 ms, and of 250 ms from then on.
+        long least = TimeUnit.MILLISECONDS.toNanos(50 + 100 + (tries - 3) * 125);
+        long begun = System.nanoTime();
+        watch(600_000, 600_000);
+        while (sockets.sockets.get() < tries) {
+            Thread.onSpinWait();
+        }
+        assertTrue(System.nanoTime() - begun >= least, "tried in a hot loop");
+        sockets.succeed();
+        Asked only = next("5");
+        only.say(HEAD + list(8));
+        assertHeard(8);
+        assertTrue(asked.isEmpty(), "one watch is enough");
+    }
+
+    @Test
+    void aWatchThatHadNoSocketIsTriedAgain() throws Exception {
+        sockets.refuseSockets();
+        assertTriedAgainUntilItSucceeds();
+    }
+
+    @Test
+    void aWatchWhoseConnectFailsInTheCallIsTriedAgain() throws Exception {
+        sockets.failConnects(new ConnectException("Network is unreachable"));
+        assertTriedAgainUntilItSucceeds();
+    }
+
+    /** Each look at such a watch closes it; that must not be the last look. */
+    @Test
+    void aWatchThatHadNoSocketMayBeFoundSilent() throws Exception {
+        watch(60_000, 40);
+        Asked first = next("5");
+        first.say(HEAD);
+        sockets.refuseSockets();
+        first.ended();
+        sockets.succeed();
+        next("5").say(HEAD + list(8));
+        assertHeard(8);
+    }
+
+    @Test
+    void aReadThatFailsEndsTheWatchAndItIsOpenedAnew() throws Exception {
+        watch(600_000, 600_000);
+        Asked broken = next("5");
+        broken.say(HEAD + list(8));
+        assertHeard(8);
+        sockets.failNextRead(new IOException("Connection timed out"));
+        broken.say(list(9));
+        next("8").say(HEAD + list(10));
+        assertHeard(10);
+        broken.ended();
+    }
+
+    @Test
+    void aWatchThatEndsWithinAMessageHasNotToldIt() throws Exception {
+        watch(600_000, 600_000);
+        Asked cut = next("5");
+        String half = list(9);
+        cut.say(HEAD + list(8) + half.substring(0, half.length() / 2));
+        assertHeard(8);
+        cut.socket.close();
+        next("8").say(HEAD + list(9));
+        assertHeard(9);
+    }
+
+    @Test
+    void ofSeveralMovesOnlyTheLastOneLeavesAWatch() throws Exception {
+        SocketAddress nobody;
+        try (ServerSocket gone = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            nobody = gone.getLocalSocketAddress();
+        }
+        watch(600_000, 600_000);
+        Asked left = next("5");
+        left.say(HEAD + list(8));
+        assertHeard(8);
+        loop.submit(() -> client.move(nobody)).get();
+        loop.submit(() -> {
+            client.move(listening.getLocalSocketAddress());
+            client.move(nobody);
+            client.move(listening.getLocalSocketAddress());
+        }).get();
+        left.ended();
+        // A discovery that has begun anew counts from a lower revision.
+        Asked last = next("8");
+        last.say(HEAD + list(3));
+        assertHeard(3);
+        last.say(list(4));
+        assertHeard(4);
+        assertTrue(asked.isEmpty(), "one watch is enough");
+    }
 }
--- a/src/test/java/rushpin/net/FailingSockets.java
+++ b/src/test/java/rushpin/net/FailingSockets.java
@@ -9,13 +9,15 @@
 import java.net.SocketAddress;
 import java.net.SocketException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 
 /** Sockets whose calls fail as long as a test wants them to; each is asked of the operating system otherwise. */
 final class FailingSockets implements ChannelFactory<Channel> {
     /** How often {@code socket} and {@code connect} were called. */
     final AtomicInteger sockets = new AtomicInteger(), connects = new AtomicInteger();
     private volatile boolean refusing;
-    private volatile IOException connect, finish, read;
+    private volatile IOException connect, finish;
+    private final AtomicReference<IOException> read = new AtomicReference<>();
 
     /** {@code EMFILE}, {@code ENFILE}, {@code ENOBUFS}. */
     FailingSockets refuseSockets() {
@@ -36,8 +38,8 @@
     }
 
     /** The next read fails. */
-    FailingSockets failReads(IOException cause) {
-        read = cause;
+    FailingSockets failNextRead(IOException cause) {
+        read.set(cause);
         return this;
     }
 
@@ -46,7 +48,6 @@
         refusing = false;
         connect = null;
         finish = null;
-        read = null;
     }
 
     @Override
@@ -81,8 +82,9 @@
 
         @Override
         protected int doReadBytes(ByteBuf into) throws Exception {
-            if (read != null) {
-                throw read;
+            IOException cause = read.getAndSet(null);
+            if (cause != null) {
+                throw cause;
             }
             return super.doReadBytes(into);
         }
