--- a/src/main/java/rushpin/net/CounterClient.java
+++ b/src/main/java/rushpin/net/CounterClient.java
@@ -3,7 +3,6 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -49,13 +48,17 @@
 
     /** Opens nothing yet: the first call does. */
     public CounterClient(Listener listener, EventLoop loop, Upstream config) {
+        this(listener, loop, config, Transport.connecting(loop, config.counter()));
+    }
+
+    /** As above, by sockets of one's own. */
+    CounterClient(Listener listener, EventLoop loop, Upstream config, Bootstrap sockets) {
         this.listener = listener;
         this.loop = loop;
         address = config.counter();
         prefix = config.countPrefix();
         timeout = Math.max(MS, config.counterTimeout());
-        bootstrap = Transport.connecting(loop, config.counter())
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, config.connectTimeout() / MS));
+        bootstrap = sockets.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, config.connectTimeout() / MS));
         for (int i = 0; i < PLACES; i++) {
             places[i] = new Place();
         }
@@ -133,11 +136,13 @@
                 loop.schedule(this::expire, 1, TimeUnit.NANOSECONDS);
                 return;
             }
-            place.waiting.remove(this);
+            // Those before it are due as well, though their timers may have been set a moment later.
             if (line != null) {
-                // Those before it are due as well, though their timers may have been set a moment later.
                 line.endBefore(this);
+            } else {
+                place.endBefore(this);
             }
+            place.waiting.remove(this);
             end(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, 0);
             if (line != null) {
                 line.expired(this);
@@ -157,6 +162,10 @@
                 // No answers for so long: all end here, in their order, and the call at hand has a new line.
                 line.die();
             }
+            if (waiting.size() >= MOST_PENDING) {
+                // These wait for a call that is out on another line.
+                endBefore(null);
+            }
             if (line == null) {
                 line = new Line(this);
             }
@@ -191,9 +200,27 @@
             }
         }
 
+        /** Whether a call is out on a line that has been replaced. */
+        boolean isOutElsewhere() {
+            return last != null && !last.over && last.line != line;
+        }
+
+        /** Ends what was asked before a call that still waits, in order; all of it before null. */
+        void endBefore(Call waits) {
+            Call out = last;
+            if (out != null && !out.over) {
+                out.line.endBefore(null);
+                out.line.expired(out);
+            }
+            // Who hears of an end may ask for more, and that may end all that waits.
+            while (!waiting.isEmpty() && waiting.peek() != waits) {
+                waiting.poll().broke();
+            }
+        }
+
         /** Calls end in their order, so none is written while an earlier one is out on another line. */
         void write() {
-            if (line == null || !line.channel.isActive() || last != null && !last.over && last.line != line) {
+            if (line == null || !line.isActive() || isOutElsewhere()) {
                 return;
             }
             while (!waiting.isEmpty()) {
@@ -205,31 +232,44 @@
     }
 
     /** A connection with its calls in the order in which they are answered. */
-    private final class Line extends AnswerHandler {
+    private final class Line extends AnswerHandler implements Transport.ConnectListener {
         private final Place place;
         private final ArrayDeque<Call> pending = new ArrayDeque<>();
         private final AnswerDecoder decoder = new AnswerDecoder();
+        /** Null where no socket could be had. */
         private final Channel channel;
         private boolean connected, dead;
 
         Line(Place place) {
             super(MOST_ANSWER);
             this.place = place;
-            ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+            Bootstrap connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel made) {
                     made.pipeline().addLast(decoder, new HttpRequestEncoder(), Line.this);
                 }
-            }).connect(address);
-            channel = connecting.channel();
-            connecting.addListener(done -> {
-                if (done.isSuccess()) {
-                    connected = true;
-                    place.write();
-                } else {
-                    die();
-                }
             });
+            channel = Transport.connect(connecting, loop, address, this);
+        }
+
+        @Override
+        public void opened(Channel made) {
+            connected = true;
+            place.write();
+        }
+
+        @Override
+        public void failed(Throwable cause) {
+            die();
+        }
+
+        @Override
+        public void ended() {
+            // A connection's end is told to its handler.
+        }
+
+        boolean isActive() {
+            return channel != null && channel.isActive();
         }
 
         void write(Call call) {
@@ -244,6 +284,7 @@
             });
         }
 
+        /** Ends what was written before a call; all of it before null. */
         void endBefore(Call call) {
             for (Call before : List.copyOf(pending)) {
                 if (before == call) {
@@ -279,14 +320,18 @@
                 return;
             }
             dead = true;
-            channel.close();
+            if (channel != null) {
+                channel.close();
+            }
             if (place.line == this) {
                 place.line = null;
             }
             while (!pending.isEmpty()) {
                 pending.poll().broke();
             }
-            if (place.line != null || place.waiting.isEmpty()) {
+            if (place.line != null || place.waiting.isEmpty() || place.isOutElsewhere()) {
+                // What waits for a call on another line is seen to when that one ends: calls end in their order, and a
+                // line that comes up and is reset at once would go round and round meanwhile.
                 return;
             }
             if (connected && !closed) {
