--- a/src/main/java/rushpin/net/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -16,6 +16,7 @@
 import io.netty.channel.ServerChannel;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -60,6 +61,9 @@
     private static final long MS = 1_000_000L, IDLE = 2_000 * MS, SWEEP = 250 * MS;
     /** How long a client that is answered early may go on sending what nobody reads. */
     private static final long LINGER = 1_000 * MS;
+    /** An answer up to this size has left with its write; a longer one is given so long to be taken before the close. */
+    private static final int SENT_AT_ONCE = 8 * 1024;
+    private static final long DELIVERED = 250 * MS;
     /** A look that comes so late was kept from it by more than a busy loop. */
     private static final long STOOD = 4 * SWEEP;
     /** Loaded with this class: where no descriptor is left a class that stands in a folder can't be. */
@@ -790,13 +794,27 @@
                 loop.schedule(() -> channel.close(), LINGER, TimeUnit.NANOSECONDS);
                 return;
             }
-            channel.writeAndFlush(answer).addListener(closing ? ChannelFutureListener.CLOSE
-                : ChannelFutureListener.CLOSE_ON_FAILURE);
+            channel.writeAndFlush(answer).addListener(!closing ? ChannelFutureListener.CLOSE_ON_FAILURE
+                : content.readableBytes() > SENT_AT_ONCE ? this::closeBehind : ChannelFutureListener.CLOSE);
             if (!closing) {
                 loop.execute(this::next);
             }
         }
 
+        /**
+         * Closes the connection behind an answer that the kernel may still be sending: a close over unread bytes would drop
+         * the rest of it. The end is said at once, and nothing more is read: what comes now is sent again on another one.
+         */
+        private void closeBehind(Future<? super Void> written) {
+            if (!written.isSuccess() || !(channel instanceof DuplexChannel duplex)) {
+                channel.close();
+                return;
+            }
+            channel.config().setAutoRead(false);
+            duplex.shutdownOutput();
+            loop.schedule(() -> channel.close(), DELIVERED, TimeUnit.NANOSECONDS);
+        }
+
         private boolean mustClose() {
             return !keepAlive || draining || crowded();
         }
@@ -857,7 +875,7 @@
                             since = System.nanoTime();
                             closing = close;
                             if (close || !done.isSuccess()) {
-                                channel.close();
+                                closeBehind(done);
                             } else {
                                 loop.execute(Session.this::next);
                             }
