--- a/src/test/java/rushpin/net/ServerConnectTest.java
+++ b/src/test/java/rushpin/net/ServerConnectTest.java
@@ -17,6 +17,7 @@
 import java.net.InetSocketAddress;
 import java.net.NoRouteToHostException;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
@@ -26,6 +27,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -105,6 +107,26 @@
         assertEquals(Outcome.RESET, ended.poll(30, TimeUnit.SECONDS));
     }
 
+    /** The connection is up, and the attempt was decided in time; when it could be written servers had forgotten its key. */
+    @Test
+    void whatMayOnlyBeginForAMomentIsNotWrittenBehindIt() throws Exception {
+        long moment = TimeUnit.MILLISECONDS.toNanos(1);
+        onLoop(() -> {
+            servers.send(request("late"), "s0", LONG, moment);
+            for (long sent = System.nanoTime(); System.nanoTime() - sent <= moment;) {
+                Thread.onSpinWait();
+            }
+            return null;
+        });
+        assertEquals(Outcome.NOT_SENT, ended.poll(30, TimeUnit.SECONDS));
+        Socket made = listening.accept();
+        onLoop(() -> {
+            servers.close();
+            return null;
+        });
+        assertEquals(-1, made.getInputStream().read(), "a byte of it was written");
+    }
+
     /** Those of attempts that failed at this side only, too. */
     private void closeAllThatCome() {
         try {
@@ -116,12 +138,14 @@
         }
     }
 
-    private void send(String id) throws Exception {
+    private static OpenRequest request(String id) {
         Request request = new Request(id, 0, 0, 1, System.nanoTime() + LONG, 1, 1, 0, false);
-        OpenRequest of = new OpenRequest(request, "c", HttpMethod.GET, "/", null, "h", Unpooled.EMPTY_BUFFER, null, null, 0,
-            LONG);
+        return new OpenRequest(request, "c", HttpMethod.GET, "/", null, "h", Unpooled.EMPTY_BUFFER, null, null, 0, LONG);
+    }
+
+    private void send(String id) throws Exception {
         onLoop(() -> {
-            servers.send(of, "s0", LONG);
+            servers.send(request(id), "s0", LONG);
             return null;
         });
     }
--- /dev/null
+++ b/src/test/java/rushpin/node/PausedLoopTest.java
@@ -0,0 +1,111 @@
+package rushpin.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The process has no core for a moment, shorter than a stop that anybody would notice. All that happened meanwhile lies in its
+ * sockets, in the order in which it came, and is decided upon one by one.
+ */
+class PausedLoopTest extends Stage {
+    /** Longer than the 100 ms after which a client that left binds, and shorter than any drain's usual grace. */
+    private static final long PAUSE_MS = 300;
+
+    private interface Meanwhile {
+        void run() throws Exception;
+    }
+
+    /** Holds the node's loop while things happen, and for some time more. */
+    private static void pausedWhile(EdgeNode node, Meanwhile happens) throws Exception {
+        CompletableFuture<Void> held = new CompletableFuture<>();
+        CompletableFuture<Void> happened = new CompletableFuture<>();
+        CompletableFuture<Void> over = CompletableFuture.runAsync(() -> {
+            held.complete(null);
+            happened.join();
+            pause();
+        }, node.loop());
+        held.join();
+        try {
+            happens.run();
+        } finally {
+            happened.complete(null);
+        }
+        over.get(30, TimeUnit.SECONDS);
+    }
+
+    private static void pause() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(PAUSE_MS);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Each server breaks off the request that names it; another one is answered. */
+    private Peer breakingOff(CompletableFuture<Void> go, CompletableFuture<Void> broken) throws Exception {
+        return peer(m -> {
+            if (m.headers().get("x-trace-id").equals("left")) {
+                go.join();
+                m.socket().close();
+                broken.complete(null);
+            } else {
+                m.answer(Peer.ok("", "x"));
+            }
+        });
+    }
+
+    @Test
+    void anAttemptThatBrokeJustBeforeItsClientLeftIsNotRepeated() throws Exception {
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        CompletableFuture<Void> broken = new CompletableFuture<>();
+        Peer first = breakingOff(go, broken);
+        Peer second = breakingOff(go, broken);
+        EdgeNode node = node(first, second);
+        // The first request of all loads what it needs, and is a pause by itself.
+        assertEquals("200", status(ask(node, "warm")));
+        first.seen.clear();
+        second.seen.clear();
+        Socket client = client(node);
+        order(client, "left");
+        awaitAttempt(first, second);
+
+        pausedWhile(node, () -> {
+            go.complete(null);
+            broken.get(30, TimeUnit.SECONDS);
+            client.close();
+        });
+        while (node.connections() > 1) {
+            Thread.sleep(1);
+        }
+        // What the node would send again it has sent by the time that this one is answered.
+        assertEquals("200", status(ask(node, "after")));
+        long attempts = countOf("left", first) + countOf("left", second);
+        assertEquals(1, attempts, "attempts for a client that had left");
+        assertEquals(1, countOf("after", first) + countOf("after", second));
+    }
+
+    private static long countOf(String id, Peer at) {
+        return at.seen.stream().filter(m -> m.headers().get("x-trace-id").equals(id)).count();
+    }
+
+    private static void awaitAttempt(Peer... servers) throws InterruptedException {
+        while (true) {
+            for (Peer server : servers) {
+                if (!server.seen.isEmpty()) {
+                    return;
+                }
+            }
+            Thread.sleep(1);
+        }
+    }
+
+    private Peer.Message ask(EdgeNode node, String id) throws Exception {
+        Socket socket = client(node);
+        order(socket, id);
+        return Peer.read(socket);
+    }
+}
