--- a/src/main/java/rushpin/gateway/Gateway.java
+++ b/src/main/java/rushpin/gateway/Gateway.java
@@ -18,6 +18,8 @@
     private static final long TICK = 10 * MS;
     /** How often fresh use is pushed, and for how long no call is answered by a counter that is silent. */
     private static final long PUSH = SECOND / 4, SILENT_AFTER = SECOND / 2;
+    /** Without a call others' use of so long is left to them: what they took since is not heard yet. */
+    private static final long UNHEARD = 2 * SECOND;
     /** Calls to the counter a second at first, by all gateways and by one at least: few leave all to luck. */
     private static final double CALLS_START = 400, CALLS_LEAST = 2;
     /** Their growth in a second, larger by the second since the last slow call; and the step down. */
@@ -32,8 +34,6 @@
     private static final double NAME_S = 60;
     /** The operator's limit on concurrency: requests in flight for each listed server, over all gateways. */
     private static final double OPEN_PER_SERVER = 6;
-    /** The estimator's memory of some 50 intervals, and the bound on its trace in a quiet spell. */
-    private static final double FORGET = 0.98, TRACE = 100;
     /** Inverse latency is told in aims over latency, this many being 1, to be of one size with the shares. */
     private static final double INVERSE_UNIT = 10;
     /** Actuation penalties (the level's loop is the slower), and the least part of each: no class starves. */
@@ -542,7 +542,7 @@
             } else {
                 divide();
                 boolean doubtful = deaf && job.request.repeat() && plan.burst() / gateways < units;
-                decide(job, doubtful ? Double.MAX_VALUE : othersRate * PUSH * NANO);
+                decide(job, doubtful ? Double.MAX_VALUE : unheard());
             }
         }
 
@@ -555,6 +555,9 @@
             deaf = true;
         }
 
+        /** What the others may have taken since they last told: a push waits for up to a second. */
+        private double unheard() { return othersRate * UNHEARD * NANO; }
+
         private void decide(Job job, double keptBack) {
             double units = job.request.units();
             job.inQuota = plan.rate() <= 0 || store >= keptBack;
@@ -659,7 +662,7 @@
                 }
             } else {
                 if (!answered) { divide(); }
-                decide(job, answered ? 0 : othersRate * PUSH * NANO);
+                decide(job, answered ? 0 : unheard());
             }
         }
 
@@ -850,38 +853,6 @@
         }
     }
 
-    /** Recursive least squares with forgetting: y = theta phi, all outputs sharing one covariance. */
-    static final class Rls {
-        private final SimpleMatrix theta;
-        private SimpleMatrix covariance;
-        private int updates;
-
-        Rls(int outputs, int inputs) {
-            theta = new SimpleMatrix(outputs, inputs);
-            covariance = SimpleMatrix.identity(inputs).scale(TRACE / 10);
-        }
-
-        /** Folds one observation in; outputs that are no number keep their parameters. */
-        void update(SimpleMatrix phi, double... y) {
-            SimpleMatrix pPhi = covariance.mult(phi);
-            SimpleMatrix gain = pPhi.divide(FORGET + phi.dot(pPhi));
-            for (int i = 0; i < y.length; i++) {
-                if (!Double.isNaN(y[i])) {
-                    double error = y[i] - predict(phi).get(i);
-                    for (int j = 0; j < theta.getNumCols(); j++) {
-                        theta.set(i, j, theta.get(i, j) + gain.get(j) * error);
-                    }
-                }
-            }
-            covariance = covariance.minus(gain.mult(pPhi.transpose())).divide(FORGET);
-            double bound = TRACE * theta.getNumCols();
-            if (covariance.trace() > bound) { covariance = covariance.scale(bound / covariance.trace()); }
-            updates++;
-        }
-
-        SimpleMatrix predict(SimpleMatrix phi) { return theta.mult(phi); }
-    }
-
     /** u(k) = (B0'W'WB0 + Q'Q)^-1 (B0'W'W(yref - r) + Q'Q u(k-1)), with W and Q diagonal. */
     static SimpleMatrix controlLaw(SimpleMatrix b0, SimpleMatrix w, double q, SimpleMatrix yref,
                                    SimpleMatrix r, SimpleMatrix last) {
@@ -905,14 +876,14 @@
     /** The share loop, the slower concurrency loop and the optimizer that feeds both. */
     private final class Control {
         private final int n = lanes.length;
-        private final Rls shareModel = new Rls(2 * n, 3 * n), levelModel;
+        private final RecursiveLeastSquares shareModel = new RecursiveLeastSquares(2 * n, 3 * n), levelModel;
         private double[] lastY;
         private double lastInverse, lastLevel, lastChange, scale = 1, level = 1, limit = 1;
         private boolean bound;
 
         /** Until fitted, shares follow worth; the level's loop goes on where one before it stood. */
         Control(Control before) {
-            levelModel = before == null ? new Rls(1, 2) : before.levelModel;
+            levelModel = before == null ? new RecursiveLeastSquares(1, 2) : before.levelModel;
             if (before != null) {
                 lastInverse = before.lastInverse;
                 lastLevel = before.lastLevel;
@@ -936,7 +907,7 @@
             double before = limit;
             double part = Math.max(MIN_LEVEL, OPEN_PER_SERVER * listed.size() / cfg.siblings());
             limit = part > 1 ? Math.rint(part) : part;
-            level = levelModel.updates == 0 || level >= before ? limit : Math.min(level, limit);
+            level = levelModel.updates() == 0 || level >= before ? limit : Math.min(level, limit);
         }
 
         void interval() {
@@ -954,7 +925,7 @@
             }
             if (lastY != null && total > 0) { shareModel.update(regressor(lastY, shares()), seen); }
             lastY = y;
-            if (shareModel.updates >= 3 * n) { steerShares(y, seen); }
+            if (shareModel.updates() >= 3 * n) { steerShares(y, seen); }
             steerLevel();
             for (Lane lane : lanes) {
                 lane.arrivals = lane.good = 0;
@@ -1009,7 +980,7 @@
 
         private void steerShares(double[] y, double[] seen) {
             double[] u = shares();
-            SimpleMatrix b0 = shareModel.theta.cols(2 * n, 3 * n).copy();
+            SimpleMatrix b0 = shareModel.parameters().cols(2 * n, 3 * n).copy();
             SimpleMatrix r = shareModel.predict(regressor(y, new double[n]));
             SimpleMatrix w = new SimpleMatrix(2 * n, 2 * n);
             double most = Arrays.stream(lanes).mapToDouble(l -> l.spec.worth() * l.price).max().orElse(1);
@@ -1043,8 +1014,8 @@
             double wait = tight.waitSum / Math.max(1, tight.good);
             // Fitted on changes: an unvaried level tells nothing. Until the fit has the known sign, Little's
             // law gives the slope: latency in proportion to what is out.
-            double fit = levelModel.theta.cols(1, 2).get(0);
-            SimpleMatrix b0 = column(levelModel.updates >= 3 && fit < 0 ? fit : -inverse / u);
+            double fit = levelModel.parameters().cols(1, 2).get(0);
+            SimpleMatrix b0 = column(levelModel.updates() >= 3 && fit < 0 ? fit : -inverse / u);
             SimpleMatrix yref = column(aim / Math.max(aim / 4, aim - wait));
             SimpleMatrix r = column(inverse - b0.get(0) * u), last = column(u);
             // A level that did not bind tells nothing; it drifts back to the operator's limit.
@@ -1256,7 +1227,7 @@
         }
     }
 
-    /** For how long from now an attempt of a request may begin: a keyed one that may have run only while its key is known. */
+    /** For how long an attempt may begin: a keyed one that may have run only while its key is known. */
     private long startWithin(Job job) {
         boolean bound = job.spec.repeat() == Repeat.KEYED && job.mayHaveRunSince > 0;
         return bound ? job.mayHaveRunSince + job.spec.keyWindow() - HELD_UP - now : Long.MAX_VALUE;
--- a/src/test/java/rushpin/gateway/MechanismTest.java
+++ b/src/test/java/rushpin/gateway/MechanismTest.java
@@ -25,7 +25,7 @@
     @Test
     void leastSquaresRecoverAKnownPlant() {
         double[][] plant = {{0.5, 0.2, 1.5}, {-0.1, 0.4, 0.7}};
-        Gateway.Rls rls = new Gateway.Rls(2, 3);
+        RecursiveLeastSquares rls = new RecursiveLeastSquares(2, 3);
         SplittableRandom random = new SplittableRandom(3);
         for (int k = 0; k < 300; k++) {
             SimpleMatrix phi = new SimpleMatrix(3, 1, true, random.nextDouble(), random.nextDouble(),
@@ -41,7 +41,7 @@
 
     @Test
     void anIdleOutputKeepsItsFit() {
-        Gateway.Rls rls = new Gateway.Rls(2, 1);
+        RecursiveLeastSquares rls = new RecursiveLeastSquares(2, 1);
         SimpleMatrix one = new SimpleMatrix(1, 1, true, 1);
         for (int k = 0; k < 50; k++) {
             rls.update(one, 2, 5);
