--- a/src/main/java/rushpin/net/ServerPool.java
+++ b/src/main/java/rushpin/net/ServerPool.java
@@ -359,13 +359,19 @@
         }
         attempt.on = made;
         made.attempt = attempt;
-        loop.schedule(() -> {
-            if (!attempt.over) {
-                made.write(attempt);
-            } else if (made.channel.isActive()) {
-                made.release();
-            }
-        }, wait, TimeUnit.NANOSECONDS);
+        loop.schedule(() -> writeLater(made, attempt), wait, TimeUnit.NANOSECONDS);
+    }
+
+    private void writeLater(Connection made, Attempt attempt) {
+        if (attempt.over) {
+            made.release();
+        } else if (made.endpoint.retired) {
+            close(made.channel);
+            attempt.end(Outcome.CONNECT_FAILED, 0, null);
+        } else {
+            // The process may have stood still once more.
+            writeSettled(made, attempt);
+        }
     }
 
     /** At the bound on connections another server's longest idle one gives way, or one here that is too fresh. */
--- a/src/main/java/rushpin/node/Pool.java
+++ b/src/main/java/rushpin/node/Pool.java
@@ -777,21 +777,20 @@
         if (tap != null) {
             tap.sent(of, server, now());
         }
-        long wait = settlingTime();
-        if (wait == 0) {
-            servers.send(of, server, patience, startWithin);
-        } else {
-            // The list that is read meanwhile decides whether that server may still be sent anything.
-            long decided = System.nanoTime();
-            loop.schedule(() -> sendLater(of, server, patience, startWithin, decided), wait, TimeUnit.NANOSECONDS);
-        }
+        sendSettled(of, server, patience, startWithin, System.nanoTime());
     }
 
-    private void sendLater(OpenRequest of, String server, long patience, long startWithin, long decided) {
-        long waited = System.nanoTime() - decided;
+    /** After a pause the list and the clients are read first: they decide whether anything may still be sent. */
+    private void sendSettled(OpenRequest of, String server, long patience, long startWithin, long decidedAt) {
+        long wait = settlingTime();
+        if (wait > 0) {
+            loop.schedule(() -> sendSettled(of, server, patience, startWithin, decidedAt), wait, TimeUnit.NANOSECONDS);
+            return;
+        }
+        long waited = System.nanoTime() - decidedAt;
         long left = startWithin == Long.MAX_VALUE ? Long.MAX_VALUE : startWithin - waited;
         if (of.isAnswered() || patience <= waited || left <= 0) {
-            attemptEnded(of, Outcome.NOT_SENT, 0, server, 0, null);
+            loop.execute(() -> attemptEnded(of, Outcome.NOT_SENT, 0, server, 0, null));
         } else {
             servers.send(of, server, patience - waited, left);
         }
--- a/src/test/java/rushpin/node/LateConnectTest.java
+++ b/src/test/java/rushpin/node/LateConnectTest.java
@@ -20,6 +20,7 @@
 import java.util.Objects;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
@@ -113,6 +114,14 @@
         }
     }
 
+    /** Returns when the kernel has made the connection that it was asked for. */
+    private void awaitConnected() throws IOException, InterruptedException {
+        String underWay = String.format("(?s).*:%04X 02 .*", server.getLocalPort());
+        while (connections("tcp").matches(underWay) || connections("tcp6").matches(underWay)) {
+            Thread.sleep(1);
+        }
+    }
+
     private static String connections(String family) throws IOException {
         return Files.readString(Path.of("/proc/net", family));
     }
@@ -142,6 +151,39 @@
         return Objects.requireNonNull(heads.poll(30, TimeUnit.SECONDS), "no request came");
     }
 
+    /** The process has no core while the connection comes up and its server's drain is told. */
+    @Test
+    void aServerThatDrainsWhileItsConnectionIsMadeGetsNothingBehindAPause() throws Exception {
+        BlockingQueue<Peer.Message> watches = new LinkedBlockingQueue<>();
+        discovery = peer(m -> {
+            m.answer(UNCHANGED);
+            watches.add(m);
+        });
+        EdgeNode node = nodeThatWaitsForConnects();
+        Socket client = client(node);
+        order(client, "r1");
+        awaitConnectUnderWay();
+
+        CompletableFuture<Void> held = new CompletableFuture<>();
+        CompletableFuture<Void> happened = new CompletableFuture<>();
+        node.loop().execute(() -> {
+            held.complete(null);
+            happened.join();
+        });
+        held.join();
+        BlockingQueue<Map<String, String>> heads = takeConnections();
+        awaitConnected();
+        String drain = "{\"revision\":6,\"complete\":false,\"members\":["
+            + member("s-0", connectedTo, "Terminating", 0) + "]}\n";
+        for (Peer.Message watch : watches) {
+            watch.answer(Integer.toHexString(drain.length()) + "\r\n" + drain + "\r\n");
+        }
+        happened.complete(null);
+
+        assertNotNull(ended.poll(30, TimeUnit.SECONDS), "the connection is kept");
+        assertEquals(List.of(), List.copyOf(heads), "requests that the server saw");
+    }
+
     @Test
     void theDeadlineIsWorkedOutWhenTheRequestIsWritten() throws Exception {
         EdgeNode node = nodeThatWaitsForConnects();
