--- a/src/main/java/rushpin/net/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -63,7 +63,7 @@
     private static final long LINGER = 1_000 * MS;
     /** An answer up to this size has left with its write; a longer one is given so long to be taken before the close. */
     private static final int SENT_AT_ONCE = 8 * 1024;
-    private static final long DELIVERED = 250 * MS;
+    private static final long DELIVERED = 1_000 * MS;
     /** A look that comes so late was kept from it by more than a busy loop. */
     private static final long STOOD = 4 * SWEEP;
     /** Loaded with this class: where no descriptor is left a class that stands in a folder can't be. */
