--- a/src/test/java/rushpin/node/LateConnectTest.java
+++ b/src/test/java/rushpin/node/LateConnectTest.java
@@ -7,6 +7,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -20,7 +21,6 @@
 import java.util.Objects;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
@@ -62,17 +62,21 @@
 
     /** Lets connections come up from now on; the heads of requests on them come in the order in which they are read. */
     private BlockingQueue<Map<String, String>> takeConnections() throws IOException {
+        BlockingQueue<Map<String, String>> heads = new LinkedBlockingQueue<>();
+        takeConnections(heads);
+        return heads;
+    }
+
+    private void takeConnections(BlockingQueue<Map<String, String>> heads) throws IOException {
         for (int i = 0; i < FILLERS; i++) {
             server.accept().close();
         }
-        BlockingQueue<Map<String, String>> heads = new LinkedBlockingQueue<>();
         inBackground(() -> {
             while (true) {
                 Socket made = server.accept();
                 inBackground(() -> readHeads(made, heads));
             }
         });
-        return heads;
     }
 
     private void readHeads(Socket from, BlockingQueue<Map<String, String>> heads) throws IOException {
@@ -151,7 +155,20 @@
         return Objects.requireNonNull(heads.poll(30, TimeUnit.SECONDS), "no request came");
     }
 
-    /** The process has no core while the connection comes up and its server's drain is told. */
+    /** Told by the loop itself, behind its next look at the sockets: by then it knows that the connection is up. */
+    private void tellDrain(Iterable<Peer.Message> watches) {
+        String drain = "{\"revision\":6,\"complete\":false,\"members\":["
+            + member("s-0", connectedTo, "Terminating", 0) + "]}\n";
+        try {
+            for (Peer.Message watch : watches) {
+                watch.answer(Integer.toHexString(drain.length()) + "\r\n" + drain + "\r\n");
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** The process has no core while the connection comes up; its server's drain is told just after that. */
     @Test
     void aServerThatDrainsWhileItsConnectionIsMadeGetsNothingBehindAPause() throws Exception {
         BlockingQueue<Peer.Message> watches = new LinkedBlockingQueue<>();
@@ -164,21 +181,11 @@
         order(client, "r1");
         awaitConnectUnderWay();
 
-        CompletableFuture<Void> held = new CompletableFuture<>();
-        CompletableFuture<Void> happened = new CompletableFuture<>();
-        node.loop().execute(() -> {
-            held.complete(null);
-            happened.join();
-        });
-        held.join();
-        BlockingQueue<Map<String, String>> heads = takeConnections();
-        awaitConnected();
-        String drain = "{\"revision\":6,\"complete\":false,\"members\":["
-            + member("s-0", connectedTo, "Terminating", 0) + "]}\n";
-        for (Peer.Message watch : watches) {
-            watch.answer(Integer.toHexString(drain.length()) + "\r\n" + drain + "\r\n");
-        }
-        happened.complete(null);
+        BlockingQueue<Map<String, String>> heads = new LinkedBlockingQueue<>();
+        whileLoopIsHeld(node, () -> {
+            takeConnections(heads);
+            awaitConnected();
+        }, () -> node.loop().schedule(() -> tellDrain(watches), 1, TimeUnit.NANOSECONDS));
 
         assertNotNull(ended.poll(30, TimeUnit.SECONDS), "the connection is kept");
         assertEquals(List.of(), List.copyOf(heads), "requests that the server saw");
--- a/src/test/java/rushpin/node/PausedLoopTest.java
+++ b/src/test/java/rushpin/node/PausedLoopTest.java
@@ -15,28 +15,6 @@
     /** Longer than the 100 ms after which a client that left binds, and shorter than any drain's usual grace. */
     private static final long PAUSE_MS = 300;
 
-    private interface Meanwhile {
-        void run() throws Exception;
-    }
-
-    /** Holds the node's loop while things happen, and for some time more. */
-    private static void pausedWhile(EdgeNode node, Meanwhile happens) throws Exception {
-        CompletableFuture<Void> held = new CompletableFuture<>();
-        CompletableFuture<Void> happened = new CompletableFuture<>();
-        CompletableFuture<Void> over = CompletableFuture.runAsync(() -> {
-            held.complete(null);
-            happened.join();
-            pause();
-        }, node.loop());
-        held.join();
-        try {
-            happens.run();
-        } finally {
-            happened.complete(null);
-        }
-        over.get(30, TimeUnit.SECONDS);
-    }
-
     private static void pause() {
         try {
             TimeUnit.MILLISECONDS.sleep(PAUSE_MS);
@@ -73,11 +51,11 @@
         order(client, "left");
         awaitAttempt(first, second);
 
-        pausedWhile(node, () -> {
+        whileLoopIsHeld(node, () -> {
             go.complete(null);
             broken.get(30, TimeUnit.SECONDS);
             client.close();
-        });
+        }, PausedLoopTest::pause);
         while (node.connections() > 1) {
             Thread.sleep(1);
         }
--- a/src/test/java/rushpin/node/Stage.java
+++ b/src/test/java/rushpin/node/Stage.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Timeout;
@@ -107,6 +108,32 @@
         write(to, "POST /api?slot=4", headers(id, "order", "20000"), "book");
     }
 
+    /** What happens while the node does not look. */
+    interface Happening {
+        void run() throws Exception;
+    }
+
+    /**
+     * Holds the node's loop while things happen, as a processor that is taken away would. {@code then} runs on the loop before
+     * it looks at its sockets again.
+     */
+    static void whileLoopIsHeld(EdgeNode node, Happening happening, Runnable then) throws Exception {
+        CompletableFuture<Void> held = new CompletableFuture<>();
+        CompletableFuture<Void> happened = new CompletableFuture<>();
+        CompletableFuture<Void> over = CompletableFuture.runAsync(() -> {
+            held.complete(null);
+            happened.join();
+            then.run();
+        }, node.loop());
+        held.join();
+        try {
+            happening.run();
+        } finally {
+            happened.complete(null);
+        }
+        over.get(60, TimeUnit.SECONDS);
+    }
+
     /** Answers once it may. */
     static Peer.Script after(CompletableFuture<Void> go) {
         return m -> {
--- a/src/test/java/rushpin/node/TermPhasesTest.java
+++ b/src/test/java/rushpin/node/TermPhasesTest.java
@@ -31,10 +31,6 @@
     private record Count(int answered, int unanswered) {
     }
 
-    private interface Writes {
-        void run() throws IOException;
-    }
-
     @BeforeEach
     void serve() throws Exception {
         server = peer(after(go));
@@ -42,22 +38,11 @@
     }
 
     /** The grace ends just when clients have written, and the node has not looked since. */
-    private void endGraceBehind(Writes clients) throws Exception {
-        CompletableFuture<Void> held = new CompletableFuture<>();
-        CompletableFuture<Void> written = new CompletableFuture<>();
-        CompletableFuture<Void> ended = CompletableFuture.runAsync(() -> {
-            held.complete(null);
-            written.join();
+    private void endGraceBehind(Happening clients) throws Exception {
+        whileLoopIsHeld(node, clients, () -> {
             node.closeAfterAnswers();
             node.stopAccepting(true);
-        }, node.loop());
-        held.join();
-        try {
-            clients.run();
-        } finally {
-            written.complete(null);
-        }
-        ended.get(60, TimeUnit.SECONDS);
+        });
     }
 
     private static void send(Socket to, String text) throws IOException {
@@ -186,7 +171,7 @@
         // Head whole or not, read before the grace ends or still in the kernel.
         String[] rest = new String[4];
         Map<String, String> headers = headers("t-", "order", "20000");
-        Writes begin = () -> {
+        Happening begin = () -> {
             for (int i = 0; i < 4; i++) {
                 StringBuilder text = new StringBuilder("POST /api HTTP/1.1\r\n");
                 headers.put("X-Trace-Id", "t-" + i);
