--- a/src/main/java/rushpin/net/ServerPool.java
+++ b/src/main/java/rushpin/net/ServerPool.java
@@ -53,6 +53,8 @@
      * request may have waited in the kernel before it was read, and this process may be held up before it writes.
      */
     private static final long DEADLINE_MARGIN = 50, DEADLINE_PART = 8;
+    /** How often an attempt whose connection came up waits for news: where each pass of the loop is slow, it is written. */
+    private static final int MOST_WAITS = 2;
     /** What one read takes at most: it is on the way to a client that may be slow. */
     private static final int READ = 16 * 1024;
 
@@ -328,7 +330,7 @@
             }
             Connection made = channel.pipeline().get(Connection.class);
             made.endpoint = endpoint;
-            writeSettled(made, attempt);
+            writeSettled(made, attempt, MOST_WAITS);
         }
 
         @Override
@@ -351,18 +353,18 @@
     }
 
     /** The client's end, or the server's drain, may wait unread behind the news that the connection is up. */
-    private void writeSettled(Connection made, Attempt attempt) {
+    private void writeSettled(Connection made, Attempt attempt, int waits) {
         long wait = node.settlingTime();
-        if (wait <= 0) {
+        if (wait <= 0 || waits == 0) {
             made.write(attempt);
             return;
         }
         attempt.on = made;
         made.attempt = attempt;
-        loop.schedule(() -> writeLater(made, attempt), wait, TimeUnit.NANOSECONDS);
+        loop.schedule(() -> writeLater(made, attempt, waits - 1), wait, TimeUnit.NANOSECONDS);
     }
 
-    private void writeLater(Connection made, Attempt attempt) {
+    private void writeLater(Connection made, Attempt attempt, int waits) {
         if (attempt.over) {
             made.release();
         } else if (made.endpoint.retired) {
@@ -370,7 +372,7 @@
             attempt.end(Outcome.CONNECT_FAILED, 0, null);
         } else {
             // The process may have stood still once more.
-            writeSettled(made, attempt);
+            writeSettled(made, attempt, waits);
         }
     }
 
--- a/src/main/java/rushpin/node/Pool.java
+++ b/src/main/java/rushpin/node/Pool.java
@@ -59,14 +59,18 @@
     private static final long ADOPT = 1_000 * MS;
     /** How often what other processes of this node wrote down is read: a server taken out there binds here in 1 s. */
     private static final long DESK = 200 * MS;
+    /** A pause of the process after which requests that are read are thought to have waited for as long as it took. */
+    private static final long STALL = 700 * MS;
     /**
      * A client's leaving binds 100 ms after it and a drain at the end of its grace: who stood still for nearly so long has
      * to hear of them before anything is written. A further pause that nobody sees is allowed for in the grace.
      */
     private static final long LONGEST_UNNOTICED_PAUSE = 80 * MS;
     private static final long UNSEEN_PAUSE = 150 * MS;
-    /** Shorter pauses are usual on a shared core and not worth a line. */
-    private static final long REPORTED_PAUSE = 500 * MS;
+    /** What came during a short pause is read in the loop's next pass. */
+    private static final long ONE_PASS = 2 * MS;
+    /** How often an attempt waits for news: where each pass of the loop is slow, it must be sent all the same. */
+    private static final int MOST_WAITS = 2;
     /** How often a request that came before the first list is looked at again; discovery's patience bounds it. */
     private static final long HELD = 5 * MS;
     /** What came during a stall is read in a pass or two of the loop. */
@@ -99,7 +103,8 @@
     private XdsSource xds;
     private double dropped, dropDebt;
     private int mostOpen;
-    private final Stalls stalls;
+    /** Long pauses of this process, and all those behind which clients and drains have to be looked at. */
+    private final Stalls stalls, pauses;
     private final Starts starts = new Starts();
     private Runnable ended;
     private long ahead, clockDue;
@@ -128,7 +133,8 @@
         this.claims = claims;
         names = plan.upstream().names();
         settings = plan.settings();
-        stalls = new Stalls(longestPause(settings.rules().drainGrace()), SETTLING, clock.now());
+        stalls = new Stalls(STALL, SETTLING, clock.now());
+        pauses = new Stalls(longestPause(settings.rules().drainGrace()), ONE_PASS, clock.now());
         servers = new ServerPool(this, loop, plan.upstream(), budgets);
         counter = new CounterClient(this::counted, loop, plan.upstream());
         discovery = plan.upstream().discovery() == null ? null : new DiscoveryClient(this, loop, plan.upstream());
@@ -505,7 +511,8 @@
     /** The time, and a sign of life: the module's own tick comes each 10 ms. */
     private long now() {
         long now = clock.now();
-        if (stalls.beat(now) && stalls.age(now) >= REPORTED_PAUSE) {
+        pauses.beat(now);
+        if (stalls.beat(now)) {
             log("stood still for " + stalls.age(now) / MS + " ms: what came meanwhile is read before anything is sent");
         }
         return now;
@@ -777,14 +784,15 @@
         if (tap != null) {
             tap.sent(of, server, now());
         }
-        sendSettled(of, server, patience, startWithin, System.nanoTime());
+        sendSettled(of, server, patience, startWithin, System.nanoTime(), MOST_WAITS);
     }
 
     /** After a pause the list and the clients are read first: they decide whether anything may still be sent. */
-    private void sendSettled(OpenRequest of, String server, long patience, long startWithin, long decidedAt) {
+    private void sendSettled(OpenRequest of, String server, long patience, long startWithin, long decidedAt, int waits) {
         long wait = settlingTime();
-        if (wait > 0) {
-            loop.schedule(() -> sendSettled(of, server, patience, startWithin, decidedAt), wait, TimeUnit.NANOSECONDS);
+        if (wait > 0 && waits > 0) {
+            loop.schedule(() -> sendSettled(of, server, patience, startWithin, decidedAt, waits - 1), wait,
+                TimeUnit.NANOSECONDS);
             return;
         }
         long waited = System.nanoTime() - decidedAt;
@@ -798,7 +806,8 @@
 
     @Override
     public long settlingTime() {
-        return stalls.left(now());
+        long now = now();
+        return Math.max(stalls.left(now), pauses.left(now));
     }
 
     @Override
--- a/src/test/java/rushpin/node/PausedLoopTest.java
+++ b/src/test/java/rushpin/node/PausedLoopTest.java
@@ -5,6 +5,7 @@
 import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -66,6 +67,29 @@
         assertEquals(1, countOf("after", first) + countOf("after", second));
     }
 
+    /** Where all passes of the loop are pauses, one waiting for news behind each would never be sent. */
+    @Test
+    void aRequestIsSentThoughEachPassOfTheLoopIsSlow() throws Exception {
+        EdgeNode node = node(peer(m -> m.answer(Peer.ok("", "x"))));
+        assertEquals("200", status(ask(node, "warm")));
+        AtomicBoolean over = new AtomicBoolean();
+        slowDown(node, over);
+        try {
+            assertEquals("200", status(ask(node, "slow")));
+        } finally {
+            over.set(true);
+        }
+    }
+
+    private static void slowDown(EdgeNode node, AtomicBoolean over) {
+        node.loop().schedule(() -> {
+            pause();
+            if (!over.get()) {
+                slowDown(node, over);
+            }
+        }, 1, TimeUnit.NANOSECONDS);
+    }
+
     private static long countOf(String id, Peer at) {
         return at.seen.stream().filter(m -> m.headers().get("x-trace-id").equals(id)).count();
     }
