A request counts as old as it may be; behind a stop the sockets are read before a send

Cause: what had waited in the kernel counted as new. A process that was just born counted no wait; behind a stall it counted for 20 ms of the clock, in which a process without a core reads nothing; and a request was sent on with its connection's end unread behind it.

Change: LoopWatch follows the passes of a loop. Arrival and ArrivalTimes bound a request's age from above; what may be older than 50 ms is taken once its connection was read again; what waited at a held socket before the start is turned away. ReadBarrier holds attempts back until the sockets were polled and read, in place of spans of 2 and 20 ms and the two kinds of pause in Pool.

Why it works: what had arrived before a poll is read in that pass or was not there, however long the pass takes.

--- a/src/main/java/rushpin/net/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -70,6 +70,11 @@
     private static final Class<?> TOLD_BY = Trouble.class;
     /** How soon accepting is tried again where it failed. */
     private static final long AGAIN = 250 * MS;
+    /**
+     * What waited for less, nanoseconds, counts as read when it came: a client's leaving binds after twice as long, and
+     * servers are told a deadline that is earlier by as much.
+     */
+    private static final long NEGLIGIBLE_AGE = 50 * MS;
     /** The same at the end, when what waits in the queue is taken: how soon, and how often in all. */
     private static final long TAKE_AGAIN = 5 * MS;
     private static final int MOST_TAKES = 20;
@@ -90,6 +95,7 @@
     private final int most, mostKept;
     /** Where several pools share this loop: whose connection is read next; else null, and each is as it comes. */
     private final Turns<Session> turns;
+    private final LoopWatch watch;
     private long swept = System.nanoTime();
     private boolean turning;
     /** Connections that ended since the loop's last look at its sockets. */
@@ -128,6 +134,7 @@
         room = new Passage.Room(budget.most());
         this.loop = loop;
         this.listen = listen;
+        watch = LoopWatch.of(loop);
         turns = byTurns ? new Turns<>() : null;
         most = Descriptors.of(sockets).clients();
         mostKept = Math.max(4, sockets / 6);
@@ -177,7 +184,7 @@
                 own.setOption(StandardSocketOptions.SO_REUSEPORT, true);
             }
             own.bind(listen, BACKLOG);
-            return acceptAt(own);
+            return acceptAt(own, false);
         } catch (IOException e) {
             return CompletableFuture.failedFuture(e);
         }
@@ -185,8 +192,12 @@
 
     /** Accepts at a socket that listens already, and is others' too: they share one queue. */
     public CompletableFuture<Void> acceptAt(ServerSocketChannel passed) {
+        return acceptAt(passed, true);
+    }
+
+    private CompletableFuture<Void> acceptAt(ServerSocketChannel passed, boolean isShared) {
         return told(accepting(new ServerBootstrap().group(loop)
-            .channelFactory((ChannelFactory<ServerChannel>) () -> new ListeningChannel(passed, acceptor))
+            .channelFactory((ChannelFactory<ServerChannel>) () -> new ListeningChannel(passed, acceptor, watch, isShared))
             .childOption(ChannelOption.TCP_NODELAY, true)).register());
     }
 
@@ -194,6 +205,14 @@
         return bootstrap
             .option(ChannelOption.RECVBUF_ALLOCATOR, new Acceptance(this::places))
             .handler(new ChannelInboundHandlerAdapter() {
+                @Override
+                public void channelRegistered(ChannelHandlerContext context) {
+                    if (context.channel() instanceof ListeningChannel registered) {
+                        registered.registered();
+                    }
+                    context.fireChannelRegistered();
+                }
+
                 @Override
                 public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
                     pauseAccepting(context.channel());
@@ -215,17 +234,41 @@
 
     /** Those who wait are tried again when a connection has ended, or soon; the selector would ask at once. */
     private void pauseAccepting(Channel at) {
-        at.config().setAutoRead(false);
+        stopAcceptingFor(at);
         // One look is enough: with one for each failure, failures would breed looks, and looks failures.
         if (!pausing) {
             pausing = true;
             loop.schedule(() -> {
                 pausing = false;
-                at.config().setAutoRead(!stopped && sessions.size() < most);
+                if (!stopped && sessions.size() < most) {
+                    goOnAccepting(at);
+                }
             }, AGAIN, TimeUnit.NANOSECONDS);
         }
     }
 
+    /** Who comes from now on waits in the queue, until reading goes on. */
+    private static void stopAcceptingFor(Channel at) {
+        if (at instanceof ListeningChannel listening) {
+            listening.pause();
+        } else {
+            at.config().setAutoRead(false);
+        }
+    }
+
+    private static void goOnAccepting(Channel at) {
+        if (at instanceof ListeningChannel listening) {
+            listening.resume();
+        } else {
+            at.config().setAutoRead(true);
+        }
+    }
+
+    /** Since when a connection that was accepted just now may have waited. */
+    private long waitingSince(Channel accepted) {
+        return accepted.parent() instanceof ListeningChannel listening ? listening.waitingSince() : watch.readUntil();
+    }
+
     /** Of the sockets that have gone since the loop's last look the descriptors are held until its next one. */
     private int places() {
         return most - sessions.size() - gone;
@@ -347,7 +390,7 @@
         }
         // A socket that a selector knows goes on taking connections after its close, until the selector's next pass, and resets them.
         letting = true;
-        listening.config().setAutoRead(false);
+        stopAcceptingFor(listening);
         listening.deregister().addListener(let -> loop.schedule(() -> takeAndClose(idleToo, MOST_TAKES), 1,
             TimeUnit.NANOSECONDS));
     }
@@ -432,7 +475,7 @@
 
     /** A client's connection: one request at a time; what comes behind it waits undecoded. */
     private final class Session extends SimpleChannelInboundHandler<HttpObject> {
-        private final RequestDecoder decoder = new RequestDecoder(this::arrived, turns != null);
+        private final RequestDecoder decoder = new RequestDecoder(this::arrived, this::arrivedAfter, turns != null);
         private final Body body = new Body(MOST_KEPT);
         private final Channel channel;
         private HttpRequest head;
@@ -455,8 +498,31 @@
         /** Bytes that a turn has left as the beginning of something: no reason for another turn. */
         private int decoded, handled;
 
+        private final Arrival arrival;
+
         Session(Channel channel) {
             this.channel = channel;
+            arrival = new Arrival(watch, waitingSince(channel));
+        }
+
+        private long arrivedAfter() {
+            return arrival.after();
+        }
+
+        /** Goes on reading, or lets what comes wait in the kernel. */
+        private void reads(boolean on) {
+            if (on) {
+                arrival.resume();
+            } else {
+                arrival.pause();
+            }
+            channel.config().setAutoRead(on);
+        }
+
+        /** How old the request is, at most, whose last byte has just been decoded; 0 for hardly. */
+        private long age() {
+            long age = Arrival.age(decoder.arrivedAfter());
+            return age < NEGLIGIBLE_AGE ? 0 : age;
         }
 
         boolean isBetween() {
@@ -504,7 +570,7 @@
             if (sessions.size() >= most && !makeRoom(this)) {
                 // At the bound on descriptors newcomers wait in the kernel's line until a connection ends.
                 // Asked of the channel itself: the first clients are here before the bind is told.
-                channel.parent().config().setAutoRead(false);
+                stopAcceptingFor(channel.parent());
             }
         }
 
@@ -518,7 +584,7 @@
             queue();
             if ((current != null && upload == null || queued) && decoder.held() > 0 && isFarAhead()) {
                 blind |= current != null;
-                channel.config().setAutoRead(false);
+                reads(false);
             } else if (head != null && current == null && !closing && !budget.allows(held)) {
                 if (body.size() >= LEAST_KEPT) {
                     handle(true);
@@ -574,7 +640,7 @@
                 return;
             }
             if (current == null && !closing) {
-                channel.config().setAutoRead(true);
+                reads(true);
             }
         }
 
@@ -641,7 +707,7 @@
                     Passage all = upload;
                     upload = null;
                     begun = false;
-                    current.bodyCame();
+                    current.bodyCame(age());
                     all.end(true);
                 }
             }
@@ -668,7 +734,7 @@
                 @Override
                 public void flow(boolean go) {
                     pace.hold(!go, System.nanoTime());
-                    channel.config().setAutoRead(go);
+                    reads(go);
                 }
 
                 /** What still comes is read and dropped: its client hears the answer sooner than a reset. */
@@ -734,9 +800,16 @@
                 Reply reply = new Reply(way.service(), whole.protocolVersion().equals(HttpVersion.HTTP_1_1));
                 upload = more ? uploadTo(way.service().loop()) : null;
                 reply.of = RequestReader.read(whole, content, way, node.now(), reply, upload, length);
+                long age = more ? 0 : age();
+                reply.of.hurry(Math.min(age, reply.of.span()));
                 endBeforeKill(reply.of);
                 current = reply;
-                reply.take();
+                if (age == 0) {
+                    reply.take();
+                } else {
+                    // Its client may have left in that time, which shows once its connection is read again.
+                    watch.afterNextLook(reply::takeUnlessGone);
+                }
             } catch (Refusal e) {
                 content.release();
                 refuse(e.status(), e.getMessage());
@@ -767,7 +840,7 @@
             head = null;
             body.take().release();
             decoder.stop();
-            channel.config().setAutoRead(false);
+            reads(false);
             write(status, Unpooled.copiedBuffer(why + "\n", StandardCharsets.UTF_8), 0);
         }
 
@@ -789,7 +862,7 @@
             if (early) {
                 // With its body on the way a close would reset the connection, and the answer with it.
                 decoder.stop();
-                channel.config().setAutoRead(true);
+                reads(true);
                 channel.writeAndFlush(answer);
                 loop.schedule(() -> channel.close(), LINGER, TimeUnit.NANOSECONDS);
                 return;
@@ -810,7 +883,7 @@
                 channel.close();
                 return;
             }
-            channel.config().setAutoRead(false);
+            reads(false);
             duplex.shutdownOutput();
             loop.schedule(() -> channel.close(), DELIVERED, TimeUnit.NANOSECONDS);
         }
@@ -898,7 +971,7 @@
             if (current != null || closing || !channel.isActive() || !channel.isWritable()) {
                 return;
             }
-            channel.config().setAutoRead(true);
+            reads(true);
             if (decoder.isPaused() && (decoder.held() > 0 || blind)) {
                 readAhead();
                 if (!channel.isActive()) {
@@ -933,7 +1006,7 @@
             body.take().release();
             account();
             if (!stopped) {
-                channel.parent().config().setAutoRead(true);
+                goOnAccepting(channel.parent());
             }
             Reply left = current;
             current = null;
@@ -956,6 +1029,8 @@
         private final class Reply implements OpenRequest.Answers {
             private final Service service;
             private OpenRequest of;
+            /** Whether its pool has it. */
+            private boolean taken;
             /** A long answer that goes through, and who hears of its end. */
             private Passage passage;
             private Consumer<Boolean> ended;
@@ -969,7 +1044,14 @@
                 this.service = service;
             }
 
+            void takeUnlessGone() {
+                if (isOpen()) {
+                    take();
+                }
+            }
+
             void take() {
+                taken = true;
                 if (service.loop() == loop) {
                     service.take(of);
                 } else {
@@ -977,11 +1059,11 @@
                 }
             }
 
-            void bodyCame() {
+            void bodyCame(long age) {
                 if (service.loop() == loop) {
-                    service.bodyCame(of);
+                    service.bodyCame(of, age);
                 } else {
-                    service.loop().execute(() -> service.bodyCame(of));
+                    service.loop().execute(() -> service.bodyCame(of, age));
                 }
             }
 
@@ -1013,6 +1095,10 @@
             }
 
             void gone() {
+                if (!taken) {
+                    of.settle();
+                    return;
+                }
                 if (passage != null) {
                     passage.stop();
                     passed(false);
--- a/src/main/java/rushpin/net/OpenRequest.java
+++ b/src/main/java/rushpin/net/OpenRequest.java
@@ -100,6 +100,7 @@
         return length;
     }
 
+    /** How long its client waits, nanoseconds. */
     long span() {
         return span;
     }
@@ -118,10 +119,10 @@
         return whole;
     }
 
-    /** The last byte of its body has come: from now on the client waits for its span. */
-    public void bodyCame(long now) {
+    /** The last byte of its body has come, so long ago at most: its client waits for its span from then on. */
+    public void bodyCame(long now, long age) {
         whole = true;
-        dueAt = now + span;
+        dueAt = now + span - Math.min(age, span);
     }
 
     /** The request's body, or its first part; the request owns it until it is settled. */
--- a/src/main/java/rushpin/net/RequestDecoder.java
+++ b/src/main/java/rushpin/net/RequestDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
+import java.util.function.LongSupplier;
 
 /**
  * The codec's decoder, which stops behind each request until it is told to go on. Requests that were all decoded
@@ -14,16 +15,20 @@
  */
 final class RequestDecoder extends HttpRequestDecoder {
     private final Runnable arrived;
+    private final LongSupplier arrivedAfter;
+    private final ArrivalTimes times = new ArrivalTimes();
     private ChannelHandlerContext context;
     private boolean paused, stopped;
 
     /**
      * {@code arrived} hears of each read, when all that may be decoded has been.
      *
+     * @param arrivedAfter asked at each read after which moment its bytes can only have arrived
      * @param byTurns whether nothing is decoded but in {@link #takeTurn}
      */
-    RequestDecoder(Runnable arrived, boolean byTurns) {
+    RequestDecoder(Runnable arrived, LongSupplier arrivedAfter, boolean byTurns) {
         this.arrived = arrived;
+        this.arrivedAfter = arrivedAfter;
         paused = byTurns;
     }
 
@@ -34,6 +39,9 @@
 
     @Override
     public void channelRead(ChannelHandlerContext at, Object input) throws Exception {
+        if (input instanceof ByteBuf bytes && bytes.isReadable()) {
+            times.read(bytes.readableBytes(), arrivedAfter.getAsLong());
+        }
         super.channelRead(at, input);
         arrived.run();
     }
@@ -53,6 +61,11 @@
         return actualReadableBytes();
     }
 
+    /** After which moment the last byte arrived of what has been decoded; not before the first read. */
+    long arrivedAfter() {
+        return times.of(held());
+    }
+
     /** Whether what comes waits undecoded. */
     boolean isPaused() {
         return paused;
--- a/src/main/java/rushpin/net/ServerPool.java
+++ b/src/main/java/rushpin/net/ServerPool.java
@@ -30,6 +30,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import rushpin.gateway.Ports.Outcome;
 import rushpin.gateway.Ports.Request;
@@ -53,8 +54,6 @@
      * request may have waited in the kernel before it was read, and this process may be held up before it writes.
      */
     private static final long DEADLINE_MARGIN = 50, DEADLINE_PART = 8;
-    /** How often an attempt whose connection came up waits for news: where each pass of the loop is slow, it is written. */
-    private static final int MOST_WAITS = 2;
     /** What one read takes at most: it is on the way to a client that may be slow. */
     private static final int READ = 16 * 1024;
 
@@ -77,9 +76,14 @@
             // Only who reports of it wants to know.
         }
 
-        /** For how long nothing should be written yet, nanoseconds: after a pause of the process news is read first. */
-        default long settlingTime() {
-            return 0;
+        /** Runs a task, {@code isOver} or not yet written, once what had arrived has been read; see {@link ReadBarrier}. */
+        default void whenRead(BooleanSupplier isOver, Runnable task) {
+            task.run();
+        }
+
+        /** Whether something that has arrived has to be read before anything is written. */
+        default boolean mustRead() {
+            return false;
         }
     }
 
@@ -330,7 +334,7 @@
             }
             Connection made = channel.pipeline().get(Connection.class);
             made.endpoint = endpoint;
-            writeSettled(made, attempt, MOST_WAITS);
+            writeOnceRead(made, attempt);
         }
 
         @Override
@@ -353,26 +357,24 @@
     }
 
     /** The client's end, or the server's drain, may wait unread behind the news that the connection is up. */
-    private void writeSettled(Connection made, Attempt attempt, int waits) {
-        long wait = node.settlingTime();
-        if (wait <= 0 || waits == 0) {
+    private void writeOnceRead(Connection made, Attempt attempt) {
+        if (!node.mustRead()) {
             made.write(attempt);
             return;
         }
         attempt.on = made;
         made.attempt = attempt;
-        loop.schedule(() -> writeLater(made, attempt, waits - 1), wait, TimeUnit.NANOSECONDS);
+        node.whenRead(() -> attempt.over, () -> writeLater(made, attempt));
     }
 
-    private void writeLater(Connection made, Attempt attempt, int waits) {
+    private void writeLater(Connection made, Attempt attempt) {
         if (attempt.over) {
             made.release();
         } else if (made.endpoint.retired) {
             close(made.channel);
             attempt.end(Outcome.CONNECT_FAILED, 0, null);
         } else {
-            // The process may have stood still once more.
-            writeSettled(made, attempt, waits);
+            made.write(attempt);
         }
     }
 
--- a/src/main/java/rushpin/net/Service.java
+++ b/src/main/java/rushpin/net/Service.java
@@ -24,8 +24,8 @@
     /** Takes a request over, with its body; exactly one of the request's answers is called later or from within. */
     void take(OpenRequest request);
 
-    /** The last byte of a request's body has come, which had been taken without. */
-    void bodyCame(OpenRequest of);
+    /** The last byte of a request's body came {@code age} nanoseconds ago at most; the request had been taken without. */
+    void bodyCame(OpenRequest of, long age);
 
     /** The client left before its answer. */
     void clientGone(OpenRequest gone);
--- a/src/main/java/rushpin/node/EdgeNode.java
+++ b/src/main/java/rushpin/node/EdgeNode.java
@@ -2,8 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpRequest;
 import java.io.IOException;
 import java.net.SocketAddress;
@@ -18,6 +16,7 @@
 import rushpin.net.ClientServer;
 import rushpin.net.Front;
 import rushpin.net.Refusal;
+import rushpin.net.WatchedLoopGroup;
 
 /** A real edge node: the listening side on one event loop, and the services behind it. */
 public final class EdgeNode implements Front, Lifecycle.Port, AutoCloseable {
@@ -29,7 +28,7 @@
     /** How long a start waits for its first list where clients come as soon as it listens. */
     private static final long HEAR = 1_500 * MS;
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup group = new WatchedLoopGroup();
     private final EventLoop loop = group.next();
     private final Clock clock;
     private final ClientServer clients;
--- a/src/main/java/rushpin/node/PlatformService.java
+++ b/src/main/java/rushpin/node/PlatformService.java
@@ -19,7 +19,7 @@
 
     PlatformService(Config config, EventLoop loop, Clock clock, ByteBudget bytes, Desk desk) {
         this.loop = loop;
-        pool = new Pool(PoolPlan.platform(config), loop, clock, Budgets.whole(config.sockets(), bytes), null);
+        pool = new Pool(PoolPlan.platform(config), loop, loop, clock, Budgets.whole(config.sockets(), bytes), null);
         if (desk != null) {
             pool.serveDesk(desk);
         }
--- a/src/main/java/rushpin/node/Pool.java
+++ b/src/main/java/rushpin/node/Pool.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import rushpin.accord.Plan;
@@ -35,8 +36,10 @@
 import rushpin.membership.Withheld;
 import rushpin.net.CounterClient;
 import rushpin.net.DiscoveryClient;
+import rushpin.net.LoopWatch;
 import rushpin.net.OpenRequest;
 import rushpin.net.Passage;
+import rushpin.net.ReadBarrier;
 import rushpin.net.RequestReader;
 import rushpin.net.ServerPool;
 import rushpin.net.Service;
@@ -59,22 +62,14 @@
     private static final long ADOPT = 1_000 * MS;
     /** How often what other processes of this node wrote down is read: a server taken out there binds here in 1 s. */
     private static final long DESK = 200 * MS;
-    /** A pause of the process after which requests that are read are thought to have waited for as long as it took. */
+    /** A pause of the process that is told to operators. */
     private static final long STALL = 700 * MS;
-    /**
-     * A client's leaving binds 100 ms after it and a drain at the end of its grace: who stood still for nearly so long has
-     * to hear of them before anything is written. A further pause that nobody sees is allowed for in the grace.
-     */
-    private static final long LONGEST_UNNOTICED_PAUSE = 80 * MS;
+    /** A client's leaving binds 100 ms after it: what has lain unread for nearly so long is read before anything is written. */
+    private static final long LONGEST_UNREAD = 80 * MS;
+    /** A pause between reading the clock and writing, which nobody sees, is allowed for in a drain's grace. */
     private static final long UNSEEN_PAUSE = 150 * MS;
-    /** What came during a short pause is read in the loop's next pass. */
-    private static final long ONE_PASS = 2 * MS;
-    /** How often an attempt waits for news: where each pass of the loop is slow, it must be sent all the same. */
-    private static final int MOST_WAITS = 2;
     /** How often a request that came before the first list is looked at again; discovery's patience bounds it. */
     private static final long HELD = 5 * MS;
-    /** What came during a stall is read in a pass or two of the loop. */
-    private static final long SETTLING = 20 * MS;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -103,8 +98,9 @@
     private XdsSource xds;
     private double dropped, dropDebt;
     private int mostOpen;
-    /** Long pauses of this process, and all those behind which clients and drains have to be looked at. */
-    private final Stalls stalls, pauses;
+    /** Long pauses of this process. */
+    private final Stalls stalls;
+    private final ReadBarrier barrier;
     private final Starts starts = new Starts();
     private Runnable ended;
     private long ahead, clockDue;
@@ -124,8 +120,13 @@
     /** In which the list has had servers, by index. */
     private final BitSet zones = new BitSet();
 
-    /** Opens nothing yet; {@code claims} is null where the list is nobody else's concern. */
-    Pool(PoolPlan plan, EventLoop loop, Clock clock, Budgets budgets, DiscoveryClient.Listener claims) {
+    /**
+     * Opens nothing yet.
+     *
+     * @param clients the loop that reads the clients' connections, which may be the pool's own
+     * @param claims null where the list is nobody else's concern
+     */
+    Pool(PoolPlan plan, EventLoop loop, EventLoop clients, Clock clock, Budgets budgets, DiscoveryClient.Listener claims) {
         this.plan = plan;
         this.loop = loop;
         this.clock = clock;
@@ -133,16 +134,17 @@
         this.claims = claims;
         names = plan.upstream().names();
         settings = plan.settings();
-        stalls = new Stalls(STALL, SETTLING, clock.now());
-        pauses = new Stalls(longestPause(settings.rules().drainGrace()), ONE_PASS, clock.now());
+        stalls = new Stalls(STALL, clock.now());
+        barrier = barrier(LoopWatch.of(loop), LoopWatch.of(clients), settings.rules().drainGrace());
         servers = new ServerPool(this, loop, plan.upstream(), budgets);
         counter = new CounterClient(this::counted, loop, plan.upstream());
         discovery = plan.upstream().discovery() == null ? null : new DiscoveryClient(this, loop, plan.upstream());
     }
 
-    /** How long the process may stand still without looking at its sockets first. */
-    private static long longestPause(long drainGrace) {
-        return Math.min(LONGEST_UNNOTICED_PAUSE, Math.max(drainGrace - UNSEEN_PAUSE, drainGrace / 4));
+    /** A drain's news may lie unread for a part of its grace; behind slow passes of the loop, for nearly all of it. */
+    private static ReadBarrier barrier(LoopWatch own, LoopWatch clients, long drainGrace) {
+        long most = Math.max(drainGrace - UNSEEN_PAUSE, drainGrace / 4);
+        return new ReadBarrier(own, clients, Math.min(LONGEST_UNREAD, most), most);
     }
 
     /** Reports to a desk, and keeps to what operators say there; before the start. */
@@ -511,9 +513,9 @@
     /** The time, and a sign of life: the module's own tick comes each 10 ms. */
     private long now() {
         long now = clock.now();
-        pauses.beat(now);
-        if (stalls.beat(now)) {
-            log("stood still for " + stalls.age(now) / MS + " ms: what came meanwhile is read before anything is sent");
+        long stall = stalls.beat(now);
+        if (stall > 0) {
+            log("stood still for " + stall / MS + " ms: what came meanwhile is read before anything is sent");
         }
         return now;
     }
@@ -610,8 +612,8 @@
         if (witness != null) {
             witness.entered(taken.className());
         }
-        if (closed || mostOpen > 0 && open.size() >= mostOpen || dropped > 0 && drops() || !budgets.take(taken)) {
-            // Nothing was sent for it, and its pool is full or has just gone: to come again is harmless.
+        if (closed || left(taken) <= 0 || mostOpen > 0 && open.size() >= mostOpen || dropped > 0 && drops() || !budgets.take(taken)) {
+            // Nothing was sent for it, and its time is over, or its pool is full or has just gone: to come again is harmless.
             answer(taken, Counts.OfClass::refused).refused(Budgets.COME_BACK);
             if (tap != null) {
                 tap.turnedAway(taken, names.plans(), now());
@@ -628,8 +630,6 @@
         if (tap != null) {
             tap.began(taken, now());
         }
-        // Read after a stall, it may have waited for as long as that.
-        taken.hurry(stalls.age(now()));
         long left = lastMoment(taken) - now();
         // The backstop for a module that is late: no request may be left without an answer.
         taken.backstop(loop.schedule(() -> overdue(taken), Math.max(0, left), TimeUnit.NANOSECONDS));
@@ -687,8 +687,8 @@
     }
 
     @Override
-    public void bodyCame(OpenRequest of) {
-        of.bodyCame(now());
+    public void bodyCame(OpenRequest of, long age) {
+        of.bodyCame(now(), age);
         if (!of.isAnswered()) {
             of.backstop(loop.schedule(() -> overdue(of), Math.max(0, lastMoment(of) - now()), TimeUnit.NANOSECONDS));
         }
@@ -784,17 +784,13 @@
         if (tap != null) {
             tap.sent(of, server, now());
         }
-        sendSettled(of, server, patience, startWithin, System.nanoTime(), MOST_WAITS);
+        long decidedAt = System.nanoTime();
+        // The list and the clients decide whether anything may still be sent.
+        barrier.pass(() -> of.isAnswered() || System.nanoTime() - decidedAt >= Math.min(patience, startWithin),
+            () -> sendOnceRead(of, server, patience, startWithin, decidedAt));
     }
 
-    /** After a pause the list and the clients are read first: they decide whether anything may still be sent. */
-    private void sendSettled(OpenRequest of, String server, long patience, long startWithin, long decidedAt, int waits) {
-        long wait = settlingTime();
-        if (wait > 0 && waits > 0) {
-            loop.schedule(() -> sendSettled(of, server, patience, startWithin, decidedAt, waits - 1), wait,
-                TimeUnit.NANOSECONDS);
-            return;
-        }
+    private void sendOnceRead(OpenRequest of, String server, long patience, long startWithin, long decidedAt) {
         long waited = System.nanoTime() - decidedAt;
         long left = startWithin == Long.MAX_VALUE ? Long.MAX_VALUE : startWithin - waited;
         if (of.isAnswered() || patience <= waited || left <= 0) {
@@ -805,9 +801,13 @@
     }
 
     @Override
-    public long settlingTime() {
-        long now = now();
-        return Math.max(stalls.left(now), pauses.left(now));
+    public boolean mustRead() {
+        return barrier.isClosed();
+    }
+
+    @Override
+    public void whenRead(BooleanSupplier isOver, Runnable task) {
+        barrier.pass(isOver, task);
     }
 
     @Override
--- a/src/main/java/rushpin/node/PooledServices.java
+++ b/src/main/java/rushpin/node/PooledServices.java
@@ -2,8 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -30,6 +28,7 @@
 import rushpin.membership.Roll;
 import rushpin.net.Front;
 import rushpin.net.Refusal;
+import rushpin.net.WatchedLoopGroup;
 import rushpin.route.Reading;
 import rushpin.route.RouteTable;
 import rushpin.traffic.Recorder;
@@ -139,7 +138,7 @@
     }
 
     private void begin(PoolPlan plan) {
-        EventLoopGroup own = plan.ownLoop() ? new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()) : null;
+        EventLoopGroup own = plan.ownLoop() ? new WatchedLoopGroup() : null;
         EventLoop loop = own == null ? front : own.next();
         String key = plan.name() + "#" + generation++;
         Share[] shares = new Share[lenders.length];
@@ -147,7 +146,7 @@
             shares[kind.ordinal()] = new Share(of(plan.guaranteed(), kind), desk(key, kind));
         }
         Budgets budgets = new Budgets(shares[0], shares[1], shares[2], shares[3], null);
-        Pool pool = new Pool(plan, loop, clock, budgets,
+        Pool pool = new Pool(plan, loop, front, clock, budgets,
             (roll, kind) -> front.execute(() -> admit(key, roll, kind)));
         if (console != null) {
             pool.serveDesk(console);
--- a/src/test/java/rushpin/net/ClientServerTest.java
+++ b/src/test/java/rushpin/net/ClientServerTest.java
@@ -6,8 +6,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpRequest;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -40,7 +38,7 @@
     /** Connections that end while accepting fails; milliseconds of four pauses, and how many tries may fall into them. */
     private static final int ENDING = 40, PAUSES = 1_000, MOST_TRIES = 8;
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup group = new WatchedLoopGroup();
     private final EventLoop loop = group.next();
     private final List<Socket> clients = new ArrayList<>();
     /** What accepting does instead of the system's call, which it may make. */
--- a/src/test/java/rushpin/node/Daemon.java
+++ b/src/test/java/rushpin/node/Daemon.java
@@ -105,7 +105,7 @@
         return port("serving on");
     }
 
-    private int port(String start) throws InterruptedException {
+    int port(String start) throws InterruptedException {
         String line = await(start);
         return Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
     }
--- a/src/test/java/rushpin/node/FrozenProcessTest.java
+++ b/src/test/java/rushpin/node/FrozenProcessTest.java
@@ -17,6 +17,9 @@
 
 /** A process that was stopped by a signal and goes on: what it believed is as old as the stop. */
 class FrozenProcessTest extends Stage {
+    /** Connections of those who stay, and as many of those who leave: many passes of a loop that accepts a few in each. */
+    private static final int MANY = 200;
+
     @TempDir
     Path folder;
     /** All that there were: one that is not answered in time, as on a crowded machine, is followed by another. */
@@ -156,4 +159,35 @@
             assertTrue(server.seen.isEmpty());
         }
     }
+
+    /** Guards against requests that are sent on after their time, since more of them wait than one settling span reads. */
+    @Test
+    void requestsOnAllNewConnectionsAreAsOldAsTheStop() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        Daemon daemon = daemon(config(member("s-0", server.address(), "Ready", 0)));
+        int port = daemon.port();
+        try (Socket client = new Socket("127.0.0.1", port)) {
+            client.setSoTimeout(60_000);
+            order(client, "warm", 20_000);
+            assertEquals("200", status(Peer.read(client)));
+        }
+        server.next();
+        stopped(daemon);
+        List<Socket> stay = new ArrayList<>();
+        for (int i = 0; i < MANY; i++) {
+            stay.add(new Socket("127.0.0.1", port));
+            stay.get(i).setSoTimeout(60_000);
+            toClose.add(stay.get(i));
+            order(stay.get(i), "stays-" + i, 2_000);
+            try (Socket left = new Socket("127.0.0.1", port)) {
+                order(left, "left-" + i, 2_000);
+            }
+        }
+        TimeUnit.MILLISECONDS.sleep(2_100);
+        daemon.signal("CONT");
+        for (Socket client : stay) {
+            assertTrue(List.of("429", "503").contains(status(Peer.read(client))), "to come again is harmless");
+        }
+        assertTrue(server.seen.isEmpty(), server.seen.size() + " were sent on after their time");
+    }
 }
--- /dev/null
+++ b/src/test/java/rushpin/node/SocketHolder.java
@@ -0,0 +1,46 @@
+package rushpin.node;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+
+/** Holds a listening socket and passes it to each process that it starts as standard input, as a supervisor does. */
+final class SocketHolder implements AutoCloseable {
+    /** Java can't give a child a socket of its own. */
+    private static final String SCRIPT = """
+        use strict; use Socket; $| = 1; $^F = 255;
+        socket(my $s, PF_INET, SOCK_STREAM, 0) or die "socket: $!";
+        bind($s, sockaddr_in(0, INADDR_LOOPBACK)) or die "bind: $!";
+        listen($s, 512) or die "listen: $!";
+        print "holds port :" . (sockaddr_in(getsockname($s)))[0] . "\\n";
+        $SIG{CHLD} = sub { 1 while waitpid(-1, 1) > 0 };
+        while (defined(my $line = <STDIN>)) {
+          my $pid = fork();
+          if (!$pid) { open(STDIN, "<&", $s) or die; close $s; exec(@ARGV); }
+          print "started :$pid\\n";
+        }
+        """;
+
+    private final Daemon holder;
+    final int port;
+
+    SocketHolder(Path folder, String config) throws Exception {
+        holder = new Daemon(folder, config, Daemon.operator("listener = \"inherited\"\n"), List.of("perl", "-e", SCRIPT));
+        port = holder.port("holds port");
+    }
+
+    /** Starts a process at the socket; returns when it serves. */
+    ProcessHandle serve() throws Exception {
+        holder.process.getOutputStream().write('\n');
+        holder.process.getOutputStream().flush();
+        int pid = holder.port("started");
+        holder.port();
+        return ProcessHandle.of(pid).orElseThrow(() -> new IOException("the process has ended"));
+    }
+
+    @Override
+    public void close() {
+        holder.process.descendants().forEach(ProcessHandle::destroyForcibly);
+        holder.close();
+    }
+}
