A start that finds SIGHUP ignored says so in one line

Cause: the JVM leaves an ignored SIGHUP ignored; Signal.handle returns SIG_IGN as the handler before, which nobody looked at.

--- a/src/main/java/rushpin/cli/Main.java
+++ b/src/main/java/rushpin/cli/Main.java
@@ -136,9 +136,14 @@
     /**
      * Java has no public way to hear of a signal, and without a handler this one ends the JVM. The compiler's
      * word on this interface cannot be turned off; it is no lint.
+     *
+     * <p>A signal that the process was started to ignore, as by nohup, stays ignored by the JVM: that is told.
      */
     private static void onHangup(Runnable then) {
-        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> then.run());
+        sun.misc.SignalHandler before = sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> then.run());
+        if (before == sun.misc.SignalHandler.SIG_IGN) {
+            System.out.println("SIGHUP is ignored, as this process was started so: no configuration will be read again");
+        }
     }
 
     /** A file that cannot be used costs one line; the settings that the node has stay as they are. */
