A crowd at the listening socket is no older than a full queue takes

Change: whoever is accepted came when the one before it by a full queue (backlog and one) had been accepted; ListeningChannel remembers when. At a socket that another process made the queue's length is not known, and the older bound stays.

--- a/src/main/java/rushpin/net/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -184,7 +184,7 @@
                 own.setOption(StandardSocketOptions.SO_REUSEPORT, true);
             }
             own.bind(listen, BACKLOG);
-            return acceptAt(own, false);
+            return acceptAt(() -> ListeningChannel.own(own, acceptor, watch, BACKLOG));
         } catch (IOException e) {
             return CompletableFuture.failedFuture(e);
         }
@@ -192,12 +192,11 @@
 
     /** Accepts at a socket that listens already, and is others' too: they share one queue. */
     public CompletableFuture<Void> acceptAt(ServerSocketChannel passed) {
-        return acceptAt(passed, true);
+        return acceptAt(() -> ListeningChannel.shared(passed, acceptor, watch));
     }
 
-    private CompletableFuture<Void> acceptAt(ServerSocketChannel passed, boolean isShared) {
-        return told(accepting(new ServerBootstrap().group(loop)
-            .channelFactory((ChannelFactory<ServerChannel>) () -> new ListeningChannel(passed, acceptor, watch, isShared))
+    private CompletableFuture<Void> acceptAt(ChannelFactory<ServerChannel> queue) {
+        return told(accepting(new ServerBootstrap().group(loop).channelFactory(queue)
             .childOption(ChannelOption.TCP_NODELAY, true)).register());
     }
 
--- a/src/main/java/rushpin/net/ListeningChannel.java
+++ b/src/main/java/rushpin/net/ListeningChannel.java
@@ -16,13 +16,27 @@
     private boolean left;
     private long waitingSince = Arrival.UNKNOWN;
     private Arrival arrival;
+    /** When those were accepted that a full queue's length ago were; empty where nobody knows how long the queue is. */
+    private final long[] acceptedAt;
+    private long accepted;
 
-    /** The queue of a socket that {@code isShared} may hold what came before this process was there. */
-    ListeningChannel(ServerSocketChannel listening, Acceptor acceptor, LoopWatch watch, boolean isShared) {
+    /** The queue of a socket of one's own, which holds one more than {@code backlog}. */
+    static ListeningChannel own(ServerSocketChannel listening, Acceptor acceptor, LoopWatch watch, int backlog) {
+        return new ListeningChannel(listening, acceptor, watch, false, backlog + 1);
+    }
+
+    /** The queue of a socket that another process made: it may hold what came before this one was there. */
+    static ListeningChannel shared(ServerSocketChannel listening, Acceptor acceptor, LoopWatch watch) {
+        return new ListeningChannel(listening, acceptor, watch, true, 0);
+    }
+
+    private ListeningChannel(ServerSocketChannel listening, Acceptor acceptor, LoopWatch watch, boolean isShared,
+                             int longest) {
         super(listening);
         this.acceptor = acceptor;
         this.watch = watch;
         this.isShared = isShared;
+        acceptedAt = new long[longest];
     }
 
     /** It has been registered with the loop: the next pass polls it. */
@@ -47,6 +61,22 @@
         config().setAutoRead(true);
     }
 
+    /**
+     * A queue that is never found empty would count as old as the crowd at it: whoever is accepted now came when the one
+     * before it by a full queue had left.
+     */
+    private void narrow() {
+        if (acceptedAt.length == 0) {
+            return;
+        }
+        int place = (int) (accepted % acceptedAt.length);
+        if (accepted >= acceptedAt.length) {
+            waitingSince = Math.max(waitingSince, acceptedAt[place]);
+        }
+        acceptedAt[place] = watch.polledAt();
+        accepted++;
+    }
+
     @Override
     protected int doReadMessages(List<Object> accepted) throws Exception {
         NioSocketChannel next = next(javaChannel());
@@ -67,6 +97,7 @@
         if (next == null) {
             return null;
         }
+        narrow();
         try {
             return new NioSocketChannel(this, next);
         } catch (RuntimeException e) {
--- a/src/main/java/rushpin/net/LoopWatch.java
+++ b/src/main/java/rushpin/net/LoopWatch.java
@@ -73,6 +73,11 @@
         return !waiting.isEmpty();
     }
 
+    /** When this pass began. */
+    long polledAt() {
+        return polledAt;
+    }
+
     /** How many passes have begun. */
     long passes() {
         return passes;
