--- a/src/test/java/rushpin/net/ArrivalTest.java
+++ b/src/test/java/rushpin/net/ArrivalTest.java
@@ -97,4 +97,24 @@
         assertEquals(100 * MS, times.of(10));
         assertEquals(900 * MS, times.of(0));
     }
+
+    /** However the loop is stopped: what is read counts as no younger than it is, and the bound is no older than one pass. */
+    @Property(tries = 300)
+    void theBoundCoversEachStopAndEndsWithTheNextPass(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        LoopWatch watch = new LoopWatch(0, Runnable::run);
+        Arrival arrival = new Arrival(watch, 0);
+        long now = 0, polled = 0, polledBefore = 0;
+        for (int i = 0; i < 200; i++) {
+            now += random.nextInt(4) == 0 ? random.nextLong(5_000 * MS) : random.nextLong(30 * MS);
+            polledBefore = polled;
+            polled = now;
+            watch.pollBegins(now);
+            // What is found now was not there at the poll before; it came at any time since.
+            long came = polledBefore + random.nextLong(polled - polledBefore + 1);
+            assertTrue(arrival.after() <= came, "seed " + seed);
+            assertTrue(i < 2 || arrival.after() == polledBefore, "seed " + seed);
+            watch.socketsRead();
+        }
+    }
 }
