--- a/review/lib-2/Kit.java
+++ b/review/lib-2/Kit.java
@@ -224,7 +224,11 @@
         final ServerSocket socket;
 
         Listener(Serving serving) throws IOException {
-            socket = new ServerSocket(0, 1_024, LOOPBACK);
+            this(new ServerSocket(0, 1_024, LOOPBACK), serving);
+        }
+
+        Listener(ServerSocket listening, Serving serving) {
+            socket = listening;
             Kit.start("accept", () -> {
                 while (true) {
                     try {
@@ -329,8 +333,11 @@
 
     // ------------------------------------------------------------------ the edge node
 
+    /** The settings of the node that starts next. */
+    static String settings = usual();
+
     /** The settings of kality-pickup: its classes, plans and rules, with figures inside the site file's ranges. */
-    static String settings() {
+    private static String usual() {
         return """
             {"my-number":0,"siblings":2,"my-zone":0,"tick-ns":2000000,"weights":"rough","discovery":"automatic",
              "failure-domains":["yard-office","customs-block"],"skus":["std-4core"],
@@ -375,7 +382,7 @@
                     "{\"name\":\"" + name + "\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery.address()
                             + "\",\"counter\":\"" + counter.address() + "\",\"seed\":\"8c1f30d27a5be964\","
                             + "\"limits\":{\"cores\":1.0,\"memory_mb\":" + memoryMb + ",\"sockets\":" + sockets
-                            + "},\"known\":" + list(members) + ",\"settings\":" + settings() + "}");
+                            + "},\"known\":" + list(members) + ",\"settings\":" + settings + "}");
             String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
                     .filter(line -> line.startsWith("run = "))
                     .map(line -> line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')))
@@ -412,6 +419,10 @@
             return process.isAlive();
         }
 
+        long pid() {
+            return process.pid();
+        }
+
         /** Its exit status, once it has ended. */
         int status() {
             return process.exitValue();
