--- a/review/lib-2/Kit.java
+++ b/review/lib-2/Kit.java
@@ -333,6 +333,9 @@
 
     // ------------------------------------------------------------------ the edge node
 
+    /** The operator's file of the node that starts next, and what its pools' file {@code pool.json} says; null for none. */
+    static String operator;
+
     /** The settings of the node that starts next. */
     static String settings = usual();
 
@@ -377,12 +380,13 @@
             folder = Files.createTempDirectory("review");
             Path config = folder.resolve("config.json");
             Files.createDirectory(folder.resolve("tmp"));
+            String known = list(members);
             Files.writeString(
                     config,
                     "{\"name\":\"" + name + "\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery.address()
                             + "\",\"counter\":\"" + counter.address() + "\",\"seed\":\"8c1f30d27a5be964\","
                             + "\"limits\":{\"cores\":1.0,\"memory_mb\":" + memoryMb + ",\"sockets\":" + sockets
-                            + "},\"known\":" + list(members) + ",\"settings\":" + settings + "}");
+                            + "},\"known\":" + known + ",\"settings\":" + settings + "}");
             String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
                     .filter(line -> line.startsWith("run = "))
                     .map(line -> line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')))
@@ -394,6 +398,11 @@
             command.environment().put("GW_DISCOVERY", discovery.address());
             command.environment().put("GW_CONFIG", config.toString());
             command.environment().put("TMPDIR", folder.resolve("tmp").toString());
+            if (operator != null) {
+                write("operator.toml", operator);
+                write("pool.json", pool(discovery, counter, members));
+                command.environment().put("RUSHPIN_OPERATOR", folder.resolve("operator.toml").toString());
+            }
             command.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
             process = command.start();
             NODES.add(this);
@@ -405,6 +414,19 @@
             note("node " + name + " is ready, process " + process.pid());
         }
 
+        /** What the file of a pool of the operator's file says, with the present {@link #settings}. */
+        static String pool(Listener discovery, Listener counter, List<String> members) {
+            return "{\"discovery\":\"" + discovery.address() + "\",\"counter\":\"" + counter.address()
+                    + "\",\"known\":" + list(members) + ",\"settings\":" + settings + "}";
+        }
+
+        /** Writes a file beside the node's configuration, in one step. */
+        void write(String file, String text) throws IOException {
+            Path draft = folder.resolve(file + ".new");
+            Files.writeString(draft, text);
+            Files.move(draft, folder.resolve(file), java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+        }
+
         private boolean isHealthy() {
             try (Client client = new Client(this)) {
                 client.send(bytes("GET /_health HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n"));
