--- a/review/lib-2/Kit.java
+++ b/review/lib-2/Kit.java
@@ -314,6 +314,11 @@
 
     /** The counter: adds and tells the total. */
     static Listener counter() throws IOException {
+        return counter((name, amount) -> {});
+    }
+
+    /** The same, with a listener that hears of each amount that is added. */
+    static Listener counter(java.util.function.BiConsumer<String, Double> added) throws IOException {
         Map<String, Double> totals = new HashMap<>();
         return new Listener(connection -> {
             InputStream in = new BufferedInputStream(connection.getInputStream());
@@ -321,6 +326,7 @@
                 String[] path = call.first.split(" ")[1].split("[/?&=]");
                 double total;
                 synchronized (totals) {
+                    added.accept(path[2], Double.parseDouble(path[4]));
                     total = totals.merge(path[2], Double.parseDouble(path[4]), Double::sum);
                 }
                 String text = String.valueOf(total);
@@ -372,10 +378,21 @@
         /** Starts a node by the command {@code run} of the deploy file, and waits until it is ready. */
         Node(String name, Listener discovery, Listener counter, List<String> members, int memoryMb, int sockets)
                 throws Exception {
+            this(name, freePort(), discovery, counter, members, memoryMb, sockets);
+        }
+
+        /** As above, at a given port, which another process of the same node may share. */
+        Node(
+                String name,
+                int port,
+                Listener discovery,
+                Listener counter,
+                List<String> members,
+                int memoryMb,
+                int sockets)
+                throws Exception {
             this.name = name;
-            try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
-                port = free.getLocalPort();
-            }
+            this.port = port;
             String listen = "127.0.0.1:" + port;
             folder = Files.createTempDirectory("review");
             Path config = folder.resolve("config.json");
@@ -406,7 +423,7 @@
             command.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
             process = command.start();
             NODES.add(this);
-            for (long end = System.nanoTime() + 30_000_000_000L; !isHealthy(); sleep(100)) {
+            for (long end = System.nanoTime() + 30_000_000_000L; !log().contains("serving on") || !isHealthy(); sleep(100)) {
                 if (System.nanoTime() > end || !process.isAlive()) {
                     throw new IllegalStateException("the node is not ready: " + log());
                 }
@@ -427,6 +444,12 @@
             Files.move(draft, folder.resolve(file), java.nio.file.StandardCopyOption.REPLACE_EXISTING);
         }
 
+        private static int freePort() throws IOException {
+            try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
+                return free.getLocalPort();
+            }
+        }
+
         private boolean isHealthy() {
             try (Client client = new Client(this)) {
                 client.send(bytes("GET /_health HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n"));
