--- a/review/lib-2/Kit.java
+++ b/review/lib-2/Kit.java
@@ -49,6 +49,8 @@
     /** Runs a case and ends the process: 0 if the rule held, 1 if it was broken, 2 if the case could not run. */
     static void run(Case body) {
         int code = 2;
+        // For a run that is ended from outside.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> NODES.forEach(Node::end)));
         Thread guard = new Thread(() -> {
             sleep(115_000);
             note("the case has not ended in 115 s");
@@ -266,7 +268,9 @@
             super(connection -> {
                 InputStream in = new BufferedInputStream(connection.getInputStream(), 65_536);
                 for (Message request = message(in); request != null; request = message(in)) {
-                    work.handle(App.self(connection), request, connection);
+                    App self = App.self(connection);
+                    note(self.id + " has " + request.id() + " whole");
+                    work.handle(self, request, connection);
                 }
             });
             this.id = id;
@@ -539,6 +543,8 @@
     static final class Client implements AutoCloseable {
         final Socket socket = new Socket();
         private final InputStream in;
+        /** The id of the last request; empty for none. */
+        private String sending = "";
 
         Client(Node node) throws IOException {
             this(node, 0);
@@ -555,13 +561,25 @@
         }
 
         void send(byte[] bytes) throws IOException {
+            if (bytes.length > 10 && (bytes[0] == 'G' || bytes[0] == 'P')) {
+                String first = new String(bytes, 0, Math.min(bytes.length, 64), StandardCharsets.ISO_8859_1);
+                int id = first.indexOf("?x=");
+                sending = id < 0 ? "" : first.substring(id + 3, id + 19);
+                if (id >= 0) {
+                    note("client sends " + sending);
+                }
+            }
             socket.getOutputStream().write(bytes);
         }
 
         /** The next answer; null if the connection ends before its first byte. */
         Message receive(long ms) throws IOException {
             socket.setSoTimeout((int) Math.max(1, ms));
-            return message(in);
+            Message answer = message(in);
+            if (!sending.isEmpty()) {
+                note("client of " + sending + " gets " + (answer == null ? "the end of the connection" : answer.first));
+            }
+            return answer;
         }
 
         /** What came: "200", "refused", "failed", "no answer", "ended" (with how). */
