Give pieces of a body that come between two attempts to the next attempt

Cause: BodyStream kept the sink of the attempt that had failed until the next attempt attached its own; what came meanwhile was written to the closed connection. bodyGone limits a request to the attempts begun, and the one that waits counts as begun.

An attempt that ends detaches its sink; what comes then waits in the stream, within its bound, for the next one. A request of which a chunk has left is never written again. On the same path: the end of a body that came between two attempts, or that an attempt had already had, reaches the next one, which hung until the deadline; a second attempt is told the time that is left, not all of it.

--- a/src/main/java/rushpin/net/BodyStream.java
+++ b/src/main/java/rushpin/net/BodyStream.java
@@ -10,6 +10,8 @@
  * more than {@value #MAX_IN_FLIGHT} bytes and one read are in flight, or an equal part of a {@link BufferBudget} if
  * that is less. The two sides may be on different event loops; each calls, and is called, on its own. Every chunk is
  * released, whichever side ends first.
+ *
+ * <p>The receiver may detach its sink and attach another one: chunks, and the end, that come meanwhile wait for it.
  */
 public final class BodyStream {
     /** Memory in flight, in bytes, at which reading from the sender stops while the budget has room. */
@@ -78,13 +80,21 @@
     private boolean budgetReleased;
     /** When bytes last moved; also read on the receiver's loop. */
     private volatile long progress = System.nanoTime();
-    /** Chunks that came before a sink was attached; like the fields below it belongs to the receiver's loop. */
+    /** Chunks that came while no sink was attached; like the fields below it belongs to the receiver's loop. */
     private final ArrayDeque<ByteBuf> pending = new ArrayDeque<>();
 
+    /** Null while none is attached. */
     private Sink sink;
+
+    /** Whether a sink has taken a chunk, which no other sink will get. */
+    private boolean passedOn;
+
     private boolean lastReceived;
     private boolean complete;
-    private boolean finished;
+    /** Whether the attached sink was told of the end. */
+    private boolean endAnnounced;
+    /** Whether the receiver has stopped the stream. */
+    private boolean stopped;
 
     BodyStream(EventLoop senderLoop, Source source, EventLoop receiverLoop, BufferBudget budget) {
         this.budget = budget;
@@ -131,7 +141,7 @@
             runOn(receiverLoop, () -> {
                 lastReceived = true;
                 complete = whole;
-                finish();
+                announceEnd();
             });
         }
     }
@@ -151,34 +161,55 @@
     }
 
     private void receive(ByteBuf chunk) {
-        if (finished) {
+        if (stopped) {
             int size = chunk.readableBytes();
             chunk.release();
             written(size);
         } else if (sink == null) {
             pending.add(chunk);
         } else {
-            sink.piece(chunk);
+            passOn(chunk);
         }
     }
 
-    private void finish() {
-        if (lastReceived && sink != null && !finished) {
-            finished = true;
+    private void passOn(ByteBuf chunk) {
+        passedOn = true;
+        sink.piece(chunk);
+    }
+
+    private void announceEnd() {
+        if (lastReceived && sink != null && !endAnnounced && !stopped) {
+            endAnnounced = true;
             sink.end(complete);
         }
     }
 
     /** Sets where chunks go, the pending ones first; called by the receiver. */
     void attach(Sink receiver) {
-        if (finished) {
+        if (stopped) {
             return;
         }
         sink = receiver;
-        while (!pending.isEmpty() && !finished) {
-            receiver.piece(pending.poll());
+        endAnnounced = false;
+        while (!pending.isEmpty() && sink == receiver) {
+            passOn(pending.poll());
         }
-        finish();
+        announceEnd();
+    }
+
+    /**
+     * Leaves further chunks to the next sink, unless another one than {@code receiver} is attached already; called by
+     * the receiver.
+     */
+    void detach(Sink receiver) {
+        if (sink == receiver) {
+            sink = null;
+        }
+    }
+
+    /** Whether a chunk was handed to a sink, so that another one would get the body with a gap; for the receiver. */
+    boolean isPassedOn() {
+        return passedOn;
     }
 
     /** Reports that a chunk of this size was written; called by the receiver. */
@@ -200,7 +231,7 @@
 
     /** Stops the stream and drops the rest; called by the receiver. */
     public void stop() {
-        finished = true;
+        stopped = true;
         int dropped = 0;
         while (!pending.isEmpty()) {
             dropped += cost(pending.peek().readableBytes());
--- a/src/main/java/rushpin/net/ServerPool.java
+++ b/src/main/java/rushpin/net/ServerPool.java
@@ -518,6 +518,9 @@
         private boolean written;
         private boolean ended;
         private Connection connection;
+        /** Takes the rest of a long body; null if there is none, or before it is written. */
+        private BodyStream.Sink restSink;
+
         private Future<?> expiry;
         /** Whether the attempt is queued at the gate; only where there is one. */
         private boolean waiting;
@@ -534,14 +537,16 @@
         }
 
         /**
-         * Returns whether the attempt may still start: its client still waits, and servers still know the idempotency
-         * key of an earlier attempt that may have run.
+         * Returns whether the attempt may still start: its client still waits, servers still know the idempotency key
+         * of an earlier attempt that may have run, and no part of the body has left with an earlier attempt.
          */
         boolean mayStart() {
             return !ended
                     && !request.isAnswered()
                     && System.nanoTime() - decidedAt < startWithin
-                    && (request.rest() != null || !listener.isUnwatched(request));
+                    && (request.rest() == null
+                            ? !listener.isUnwatched(request)
+                            : !request.rest().isPassedOn());
         }
 
         /** Starts the attempt now or when the gate has a connection for it; returns false if there will be none. */
@@ -623,6 +628,10 @@
             if (connection != null) {
                 connection.attempt = null;
             }
+            if (restSink != null) {
+                // What comes before the next attempt is written belongs to that one.
+                request.rest().detach(restSink);
+            }
             request.setAttemptAbort(null);
             listener.attemptEnded(request, outcome, System.nanoTime() - begunAt, server, units, body);
         }
@@ -668,7 +677,8 @@
         /** Returns the head of a request whose body is too long to be buffered. */
         HttpRequest longRequestHead() {
             HttpRequest message = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method, request.uri);
-            setHeaders(message, request.timeoutNanos() / NANOS_PER_MS);
+            // The client's timeout starts with its last byte, which an earlier attempt may have had long ago.
+            setHeaders(message, Math.min(request.timeoutNanos(), listener.remainingNanos(request)) / NANOS_PER_MS);
             if (request.length() < 0) {
                 message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             } else {
@@ -815,37 +825,48 @@
             OpenRequest of = next.request;
             channel.write(next.longRequestHead());
             channel.writeAndFlush(new DefaultHttpContent(of.body().retainedDuplicate()));
-            of.rest().attach(new BodyStream.Sink() {
-                private boolean consumed;
-
-                @Override
-                public void piece(ByteBuf piece) {
-                    int size = piece.readableBytes();
-                    if (!consumed) {
-                        consumed = true;
-                        listener.bodyGone(of);
-                    }
-                    channel.writeAndFlush(new DefaultHttpContent(piece))
-                            .addListener(done -> of.rest().written(size));
+            next.restSink = new RestWriter(next);
+            of.rest().attach(next.restSink);
+        }
+
+        /** Writes the rest of a long body as it comes. */
+        private final class RestWriter implements BodyStream.Sink {
+            private final Attempt of;
+            private final OpenRequest request;
+            private boolean consumed;
+
+            RestWriter(Attempt of) {
+                this.of = of;
+                request = of.request;
+            }
+
+            @Override
+            public void piece(ByteBuf piece) {
+                int size = piece.readableBytes();
+                if (!consumed) {
+                    consumed = true;
+                    listener.bodyGone(request);
                 }
+                channel.writeAndFlush(new DefaultHttpContent(piece))
+                        .addListener(done -> request.rest().written(size));
+            }
 
-                @Override
-                public void end(boolean whole) {
-                    if (whole) {
-                        // The client's timeout starts when it has sent the last byte.
-                        if (!next.ended) {
-                            next.scheduleTimeout(Math.max(0, listener.remainingNanos(of)));
-                        }
-                        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-                                .addListener(done -> requestWritten(next, done.isSuccess()));
-                    } else {
-                        // The client broke off, which says nothing about the app server. Without the last byte it has
-                        // not begun the request.
-                        close(channel);
-                        next.end(Outcome.NOT_SENT, 0, null);
+            @Override
+            public void end(boolean whole) {
+                if (whole) {
+                    // The client's timeout starts when it has sent the last byte.
+                    if (!of.ended) {
+                        of.scheduleTimeout(Math.max(0, listener.remainingNanos(request)));
                     }
+                    channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                            .addListener(done -> requestWritten(of, done.isSuccess()));
+                } else {
+                    // The client broke off, which says nothing about the app server. Without the last byte it has
+                    // not begun the request.
+                    close(channel);
+                    of.end(Outcome.NOT_SENT, 0, null);
                 }
-            });
+            }
         }
 
         @Override
--- a/src/test/java/rushpin/net/BodyStreamTest.java
+++ b/src/test/java/rushpin/net/BodyStreamTest.java
@@ -9,6 +9,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -179,4 +180,48 @@
         stream.stop();
         assertEquals(0, budget.open());
     }
+
+    /** Guards against chunks that are lost between two sinks, and against more of them than may be in flight. */
+    @Test
+    void chunksWithoutASinkWaitForTheNextOneWithinTheBound() {
+        EventLoop loop = new EmbeddedChannel().eventLoop();
+        boolean[] go = {true};
+        BodyStream stream = new BodyStream(loop, recordingFlow(go), loop, new BodyStream.BufferBudget(Long.MAX_VALUE));
+        List<String> events = new ArrayList<>();
+        BodyStream.Sink first = recordingSink("first", events, stream);
+        stream.attach(first);
+        stream.detach(first);
+        int chunks = 0;
+        for (; go[0]; chunks++) {
+            stream.push(Unpooled.buffer(1_000).writeZero(1_000));
+        }
+        stream.end(true);
+        assertTrue(chunks <= 1 + BodyStream.MAX_IN_FLIGHT / 1_000, chunks + " chunks");
+        assertEquals(List.of(), events);
+        BodyStream.Sink second = recordingSink("second", events, stream);
+        stream.attach(second);
+        stream.detach(first);
+        List<String> expected = new ArrayList<>(Collections.nCopies(chunks, "second chunk"));
+        expected.add("second end");
+        assertEquals(expected, events);
+        assertTrue(stream.isPassedOn());
+        stream.stop();
+    }
+
+    private static BodyStream.Sink recordingSink(String name, List<String> events, BodyStream stream) {
+        return new BodyStream.Sink() {
+            @Override
+            public void piece(ByteBuf chunk) {
+                events.add(name + " chunk");
+                int size = chunk.readableBytes();
+                chunk.release();
+                stream.written(size);
+            }
+
+            @Override
+            public void end(boolean whole) {
+                events.add(name + " end");
+            }
+        };
+    }
 }
