Reset a keyed request that has not arrived when app servers forget its key

Cause: the module bounds when a further attempt may begin, and nothing bounded when it arrives: it lasted until the client's deadline. Evidence: the record of the case; attempt 2 began 502 ms after the effect, inside the window less the reserve for pauses, so it did not begin late; each client sent once, on one connection; attempt 1 had ended before attempt 2 began.

A further attempt of which a part may still be on its way (over 4 kB, or streamed) now lasts no longer than the window; its connection is reset then. Every further attempt tells its app server the end of the window as its deadline. The attempt ends as cancelled, which does not count against the app server; so does an aborted one whose write was incomplete, which had ended as a failed connect.

What a reset can't take back: what the app server's machine has received.

--- a/src/main/java/rushpin/gateway/Ports.java
+++ b/src/main/java/rushpin/gateway/Ports.java
@@ -336,9 +336,9 @@
         void send(String id, String server, long patience);
 
         /**
-         * As {@link #send(String, String, long)}, for a request that may have run: nothing of it may be written later
-         * than {@code startWithin} nanoseconds from now, since servers then forget its key. A host that writes
-         * immediately may ignore the limit.
+         * As {@link #send(String, String, long)}, for a request that may have run: nothing of it may be written, and
+         * its last byte may not arrive, later than {@code startWithin} nanoseconds from now, since servers then forget
+         * its key. A host whose requests arrive immediately may ignore the limit.
          */
         default void send(String id, String server, long patience, long startWithin) {
             send(id, server, patience);
--- a/src/main/java/rushpin/net/EventLog.java
+++ b/src/main/java/rushpin/net/EventLog.java
@@ -20,6 +20,7 @@
         ANSWER_GIVEN_UP("partial answer given up"),
         ANSWER_BEGUN_EARLY("answer passed on before it is complete"),
         ATTEMPT_ABORTED("attempt aborted, its client is gone or was answered"),
+        ATTEMPT_KEY_EXPIRES("attempt ended before the app servers forget its key"),
         ATTEMPT_TIMED_OUT("attempt timed out");
 
         private final String text;
--- a/src/main/java/rushpin/net/ServerPool.java
+++ b/src/main/java/rushpin/net/ServerPool.java
@@ -328,9 +328,12 @@
         send(of, server, patience, Long.MAX_VALUE);
     }
 
-    /** As above. The request is not written if more than {@code startWithin} nanoseconds pass before that. */
-    public void send(OpenRequest of, String server, long patience, long startWithin) {
-        Attempt attempt = new Attempt(of, server, patience, startWithin);
+    /**
+     * As above. The request is not written if more than {@code arriveWithin} nanoseconds pass before that, and an
+     * attempt of which a part may still be on its way then is reset.
+     */
+    public void send(OpenRequest of, String server, long patience, long arriveWithin) {
+        Attempt attempt = new Attempt(of, server, patience, arriveWithin);
         if (gate == null ? !begin(attempt) : !attempt.sendThroughGate()) {
             loop.execute(() -> attempt.end(Outcome.NOT_SENT, 0, null));
         }
@@ -506,8 +509,8 @@
         private final OpenRequest request;
         private final String server;
         private final long patience;
-        /** How long after {@code decidedAt} the first byte may be written, in nanoseconds. */
-        private final long startWithin;
+        /** How long after {@code decidedAt} the app servers know the request's key, in nanoseconds. */
+        private final long arriveWithin;
 
         private final long decidedAt = System.nanoTime();
         /** Start of the attempt's timeout. */
@@ -516,6 +519,9 @@
         private long begunAt = sentAt;
 
         private boolean written;
+        /** Whether this process ends the attempt, for a reason that says nothing about the app server. */
+        private boolean cancelled;
+
         private boolean ended;
         private Connection connection;
         /** Takes the rest of a long body; null if there is none, or before it is written. */
@@ -529,11 +535,26 @@
         /** The use of a connection that the gate has counted for this attempt; null if there is none. */
         private GroupGate.ConnectionUse use;
 
-        Attempt(OpenRequest request, String server, long patience, long startWithin) {
+        Attempt(OpenRequest request, String server, long patience, long arriveWithin) {
             this.request = request;
             this.server = server;
-            this.patience = patience;
-            this.startWithin = startWithin;
+            this.arriveWithin = arriveWithin;
+            this.patience = Math.min(patience, remainingArrivalNanos());
+        }
+
+        /** Whether a part of the request may still be on its way after it was written. */
+        private boolean mayArriveLate() {
+            return request.rest() != null || request.body().readableBytes() > MAX_PROMPT_BODY;
+        }
+
+        /** How much longer the attempt may last because a part of it may still be on its way, in nanoseconds. */
+        private long remainingArrivalNanos() {
+            return mayArriveLate() ? remainingKeyNanos() : Long.MAX_VALUE;
+        }
+
+        /** How much longer the app servers know the request's key if it may have run, in nanoseconds. */
+        private long remainingKeyNanos() {
+            return arriveWithin == Long.MAX_VALUE ? Long.MAX_VALUE : arriveWithin - (System.nanoTime() - decidedAt);
         }
 
         /**
@@ -543,7 +564,7 @@
         boolean mayStart() {
             return !ended
                     && !request.isAnswered()
-                    && System.nanoTime() - decidedAt < startWithin
+                    && remainingKeyNanos() > 0
                     && (request.rest() == null
                             ? !listener.isUnwatched(request)
                             : !request.rest().isPassedOn());
@@ -577,7 +598,11 @@
          * cannot have run before that was written.
          */
         void connectionLost() {
-            end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, 0, null);
+            if (cancelled) {
+                end(Outcome.CANCELLED, 0, null);
+            } else {
+                end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, 0, null);
+            }
         }
 
         void expire() {
@@ -586,6 +611,11 @@
                 queued.notSent();
                 return;
             }
+            if (connection != null && remainingArrivalNanos() <= 0) {
+                log(EventLog.Event.ATTEMPT_KEY_EXPIRES, "");
+                cancel();
+                return;
+            }
             log(EventLog.Event.ATTEMPT_TIMED_OUT, connection == null ? ", not connected" : "");
             if (connection != null) {
                 discard(connection.channel);
@@ -593,6 +623,13 @@
             end(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, 0, null);
         }
 
+        /** Ends the attempt and its connection; the close may fail a write, which ends the attempt within the call. */
+        private void cancel() {
+            cancelled = true;
+            discard(connection.channel);
+            end(Outcome.CANCELLED, 0, null);
+        }
+
         private void log(EventLog.Event event, String detail) {
             long now = System.nanoTime();
             long tookMs = (now - begunAt) / NANOS_PER_MS;
@@ -602,7 +639,7 @@
 
         /** Closes the connection; what the app server has not received yet of a large request is not sent any more. */
         private void discard(Channel channel) {
-            if (request.rest() != null || request.body().readableBytes() > MAX_PROMPT_BODY) {
+            if (mayArriveLate()) {
                 channel.config().setOption(ChannelOption.SO_LINGER, 0);
             }
             close(channel);
@@ -610,10 +647,8 @@
 
         /** Ends an attempt whose client has disconnected or was answered, if its request may not have arrived whole. */
         void abort() {
-            boolean large = request.rest() != null || request.body().readableBytes() > MAX_PROMPT_BODY;
-            if (!ended && large && connection != null) {
-                discard(connection.channel);
-                end(Outcome.CANCELLED, 0, null);
+            if (!ended && mayArriveLate() && connection != null) {
+                cancel();
             }
         }
 
@@ -666,7 +701,7 @@
                     request.method,
                     request.uri,
                     request.body().retainedDuplicate());
-            setHeaders(message, (patience - (System.nanoTime() - sentAt)) / NANOS_PER_MS);
+            setHeaders(message, patience - (System.nanoTime() - sentAt));
             if (request.body().isReadable()) {
                 message.headers()
                         .set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
@@ -678,7 +713,7 @@
         HttpRequest longRequestHead() {
             HttpRequest message = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method, request.uri);
             // The client's timeout starts with its last byte, which an earlier attempt may have had long ago.
-            setHeaders(message, Math.min(request.timeoutNanos(), listener.remainingNanos(request)) / NANOS_PER_MS);
+            setHeaders(message, Math.min(request.timeoutNanos(), listener.remainingNanos(request)));
             if (request.length() < 0) {
                 message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             } else {
@@ -687,7 +722,14 @@
             return message;
         }
 
-        private void setHeaders(HttpRequest message, long expiresMs) {
+        /**
+         * Sets the headers that pass the request on.
+         *
+         * @param timeoutNanos how long the attempt may last. An app server is told less if the key expires before: it
+         *     may read the request late, and then turns it away instead of running it again.
+         */
+        private void setHeaders(HttpRequest message, long timeoutNanos) {
+            long expiresMs = Math.min(timeoutNanos, remainingKeyNanos()) / NANOS_PER_MS;
             message.headers()
                     .set(HttpHeaderNames.HOST, host == null ? request.host : host)
                     .set("X-Trace-Id", request.request().id())
@@ -856,7 +898,8 @@
                 if (whole) {
                     // The client's timeout starts when it has sent the last byte.
                     if (!of.ended) {
-                        of.scheduleTimeout(Math.max(0, listener.remainingNanos(request)));
+                        of.scheduleTimeout(
+                                Math.max(0, Math.min(listener.remainingNanos(request), of.remainingArrivalNanos())));
                     }
                     channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
                             .addListener(done -> requestWritten(of, done.isSuccess()));
