Answer every open request before SIGKILL may come, long bodies too

Cause: the drain shortened a deadline once, when the request was handed over; the last byte of the body set it anew, from then, and a request handed over before the drain was never shortened.

A request keeps the latest deadline that it may have.

DrainDeadlineTest, three tests, all failed before: answered 20,535, 6,210 and 19,673 ms after the drain began, 3,700 allowed.

--- a/src/main/java/rushpin/net/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -50,6 +50,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import rushpin.budget.FairQueue;
+import rushpin.gateway.Ports.RequestClass;
 
 /**
  * HTTP server for clients: reads requests, rejects malformed ones, hands the others to their pool and writes the
@@ -97,12 +98,13 @@
     /** How long requests are decoded before the loop polls its sockets again. */
     private static final long TURN_SLICE_NANOS = MS;
     /**
-     * Time beyond a request's timeout in which a drain must answer it. On the platform SIGKILL follows SIGTERM no
-     * sooner than the longest deadline (at most 3 s) plus 0.7 s, of which 0.3 s are kept for receiving SIGTERM late.
+     * Time beyond the longest deadline in which a drain must answer its requests. On the platform SIGKILL follows
+     * SIGTERM no sooner than the longest deadline (at most 3 s) plus 0.7 s, of which 0.3 s are kept for receiving
+     * SIGTERM late.
      */
     private static final long DRAIN_MARGIN_NANOS = 400_000_000L;
-    /** The longest timeout that a drain waits for. */
-    private static final long MAX_DRAIN_TIMEOUT_NANOS = 3_000_000_000L;
+    /** The longest deadline that a drain waits for. */
+    private static final long MAX_DRAIN_DEADLINE_NANOS = 3_000_000_000L;
 
     private final ServerCallbacks node;
     private final EventLoop loop;
@@ -371,20 +373,30 @@
         }
     }
 
-    /** From now on each connection is closed after its next response. */
+    /**
+     * From now on each connection is closed after its next response, and each request has its response before SIGKILL
+     * may come, which would lose it.
+     */
     public void closeAfterAnswers() {
         draining = true;
         drainStartedAt = node.now();
+        for (Session session : sessions) {
+            if (session.currentReply != null) {
+                session.currentReply.limitDeadlineByDrain();
+            }
+        }
     }
 
-    /** Moves the deadline before SIGKILL, which would lose a request that came late: some response is sent by then. */
-    private void limitDeadlineByDrain(OpenRequest request) {
-        if (draining && turns == null) {
-            request.shortenTimeout(request.deadlineNanos()
-                    - (drainStartedAt
-                            + DRAIN_MARGIN_NANOS
-                            + Math.min(request.timeoutNanos(), MAX_DRAIN_TIMEOUT_NANOS)));
+    /** The latest deadline of a request of this pool; {@link Long#MAX_VALUE} for no limit. */
+    private long latestDeadline(Service service) {
+        if (!draining || turns != null) {
+            return Long.MAX_VALUE;
         }
+        long longest = service.settings().classes().stream()
+                .mapToLong(RequestClass::deadline)
+                .max()
+                .orElse(MAX_DRAIN_DEADLINE_NANOS);
+        return drainStartedAt + DRAIN_MARGIN_NANOS + Math.min(longest, MAX_DRAIN_DEADLINE_NANOS);
     }
 
     /**
@@ -970,7 +982,7 @@
                         RequestReader.read(whole, content, destination, node.now(), reply, upload, declaredLength);
                 long age = bodyIncomplete ? 0 : requestAge();
                 reply.request.shortenTimeout(Math.min(age, reply.request.timeoutNanos()));
-                limitDeadlineByDrain(reply.request);
+                reply.limitDeadlineByDrain();
                 currentReply = reply;
                 if (age == 0) {
                     reply.submit();
@@ -1302,6 +1314,21 @@
                 }
             }
 
+            /** Keeps the deadline of a request without a response within a drain; without one it does nothing. */
+            void limitDeadlineByDrain() {
+                long latest = latestDeadline(service);
+                if (latest == Long.MAX_VALUE || stream != null) {
+                    return;
+                }
+                if (!handedOver) {
+                    request.limitDeadline(latest);
+                } else if (service.loop() == loop) {
+                    service.limitDeadline(request, latest);
+                } else {
+                    service.loop().execute(() -> service.limitDeadline(request, latest));
+                }
+            }
+
             /** Cuts a response that has stalled once the client's deadline is over. */
             void checkStall(ResponseStallDetector detector) {
                 long left = detector.nanosUntilCheck(node.now());
--- a/src/main/java/rushpin/net/OpenRequest.java
+++ b/src/main/java/rushpin/net/OpenRequest.java
@@ -51,6 +51,9 @@
     private final long timeoutNanos;
 
     private long deadlineNanos;
+    /** The deadline is never later than this; {@link Long#MAX_VALUE} for no limit. */
+    private long latestDeadlineNanos = Long.MAX_VALUE;
+
     private boolean whole;
     private int attempts;
     private boolean attemptInFlight;
@@ -124,6 +127,15 @@
         }
     }
 
+    /**
+     * Keeps the deadline at or before a time, also when the last byte of the body comes later: the process may be
+     * killed after it.
+     */
+    public void limitDeadline(long latestNanos) {
+        latestDeadlineNanos = Math.min(latestDeadlineNanos, latestNanos);
+        shortenTimeout(deadlineNanos - latestDeadlineNanos);
+    }
+
     /** The part of the body that is not in {@link #body}; null if there is none. */
     BodyStream rest() {
         return rest;
@@ -157,7 +169,7 @@
     /** Called when the last byte of the body arrived, at most {@code age} ago: the client's timeout starts then. */
     public void bodyReceived(long now, long age) {
         whole = true;
-        deadlineNanos = now + timeoutNanos - Math.min(age, timeoutNanos);
+        deadlineNanos = Math.min(latestDeadlineNanos, now + timeoutNanos - Math.min(age, timeoutNanos));
     }
 
     /** The body, or its first part; the request owns it until {@link #settle}. */
--- a/src/main/java/rushpin/net/Service.java
+++ b/src/main/java/rushpin/net/Service.java
@@ -27,6 +27,9 @@
     /** The last byte of the body of a request that was taken over earlier came {@code age} nanoseconds ago at most. */
     void bodyReceived(OpenRequest request, long age);
 
+    /** Keeps the deadline of a request that was taken over earlier at or before a time of the pools' clock. */
+    void limitDeadline(OpenRequest request, long latestNanos);
+
     /** The client disconnected before it had its response. */
     void clientGone(OpenRequest request);
 }
--- a/src/main/java/rushpin/node/Pool.java
+++ b/src/main/java/rushpin/node/Pool.java
@@ -737,9 +737,7 @@
         if (recorder != null) {
             recorder.started(taken, now());
         }
-        long left = answerDeadline(taken) - now();
-        // Fails the request if the module has not answered in time.
-        taken.setTimeoutTask(loop.schedule(() -> overdue(taken), Math.max(0, left), TimeUnit.NANOSECONDS));
+        scheduleOverdue(taken);
         admit(taken);
     }
 
@@ -777,9 +775,22 @@
         return request.deadlineNanos() + RequestReader.ANSWER_MARGIN - ANSWER_RESERVE_NANOS;
     }
 
+    /** Answers the request shortly before its deadline if the module has not done so by then. */
+    private void scheduleOverdue(OpenRequest request) {
+        if (!request.isAnswered()) {
+            long left = Math.max(0, answerDeadline(request) - now());
+            request.setTimeoutTask(loop.schedule(() -> overdue(request), left, TimeUnit.NANOSECONDS));
+        }
+    }
+
     private void overdue(OpenRequest late) {
         if (!late.isAnswered()) {
-            fail(late);
+            if (late.isWhole()) {
+                fail(late);
+            } else {
+                // No app server had the last byte, so none has begun it.
+                refuse(late.request().id(), 0);
+            }
             late.abortAttempt();
             runEvent(null, now -> gateway.clientGone(now, late.request().id()));
         }
@@ -825,10 +836,13 @@
     @Override
     public void bodyReceived(OpenRequest request, long age) {
         request.bodyReceived(now(), age);
-        if (!request.isAnswered()) {
-            request.setTimeoutTask(loop.schedule(
-                    () -> overdue(request), Math.max(0, answerDeadline(request) - now()), TimeUnit.NANOSECONDS));
-        }
+        scheduleOverdue(request);
+    }
+
+    @Override
+    public void limitDeadline(OpenRequest request, long latestNanos) {
+        request.limitDeadline(latestNanos);
+        scheduleOverdue(request);
     }
 
     @Override
