End a replaced pool after its last long answer

Cause: a request is settled when its long answer begins, so a retired pool counted as done while its answers were streamed, and its event loop was shut down with the connections to its app servers. The end of a stream then called that loop; the rejected task kept the client's connection from being closed. Evidence: the log of the case has "pool pickup has ended" at the SIGHUP and then the rejections from BodyStream; the app servers met a broken pipe, and the clients waited for 10 s.

A pool counts its open answer streams and closes after the last. ClientServer hands tasks to a pool's loop in one place (it stood five times), which tells when that loop has ended. On the same path: a request whose pool ended before it was handed over had no answer; it is refused.

--- a/src/main/java/rushpin/net/ClientServer.java
+++ b/src/main/java/rushpin/net/ClientServer.java
@@ -47,6 +47,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import rushpin.budget.FairQueue;
@@ -1299,33 +1300,42 @@
 
             void submit() {
                 handedOver = true;
-                if (service.loop() == loop) {
-                    service.take(request);
-                } else {
-                    service.loop().execute(() -> service.take(request));
+                if (!runOnServiceLoop(() -> service.take(request))) {
+                    // The pool ended while the request waited to be handed over: nothing of it was sent.
+                    handedOver = false;
+                    request.settle();
+                    writeResponse(HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER, 0);
                 }
             }
 
-            void bodyReceived(long age) {
+            /** Runs a task on the pool's loop. Returns false if the pool has ended, which makes the task moot. */
+            private boolean runOnServiceLoop(Runnable task) {
                 if (service.loop() == loop) {
-                    service.bodyReceived(request, age);
-                } else {
-                    service.loop().execute(() -> service.bodyReceived(request, age));
+                    task.run();
+                    return true;
+                }
+                try {
+                    service.loop().execute(task);
+                    return true;
+                } catch (RejectedExecutionException e) {
+                    return false;
                 }
             }
 
+            void bodyReceived(long age) {
+                runOnServiceLoop(() -> service.bodyReceived(request, age));
+            }
+
             /** Keeps the deadline of a request without a response within a drain; without one it does nothing. */
             void limitDeadlineByDrain() {
                 long latest = latestDeadline(service);
                 if (latest == Long.MAX_VALUE || stream != null) {
                     return;
                 }
-                if (!handedOver) {
-                    request.limitDeadline(latest);
-                } else if (service.loop() == loop) {
-                    service.limitDeadline(request, latest);
+                if (handedOver) {
+                    runOnServiceLoop(() -> service.limitDeadline(request, latest));
                 } else {
-                    service.loop().execute(() -> service.limitDeadline(request, latest));
+                    request.limitDeadline(latest);
                 }
             }
 
@@ -1346,13 +1356,8 @@
                 }
                 Consumer<Boolean> listener = endListener;
                 endListener = null;
-                if (listener == null) {
-                    return;
-                }
-                if (service.loop() == loop) {
-                    listener.accept(whole);
-                } else {
-                    service.loop().execute(() -> listener.accept(whole));
+                if (listener != null) {
+                    runOnServiceLoop(() -> listener.accept(whole));
                 }
             }
 
@@ -1366,11 +1371,7 @@
                     streamEnded(false);
                     return;
                 }
-                if (service.loop() == loop) {
-                    service.clientGone(request);
-                } else {
-                    service.loop().execute(() -> service.clientGone(request));
-                }
+                runOnServiceLoop(() -> service.clientGone(request));
             }
 
             /** Runs on the client's loop; a response whose client has disconnected is dropped there. */
--- a/src/main/java/rushpin/node/Pool.java
+++ b/src/main/java/rushpin/node/Pool.java
@@ -95,6 +95,9 @@
     /** By request ID. */
     private final Map<String, OpenRequest> openRequests = new HashMap<>();
 
+    /** The number of long answers that are being streamed; their requests are no longer among the open ones. */
+    private int openAnswerStreams;
+
     /** IDs that were taken, by this process or another one of this node. */
     private RequestIdTable requestIds = RequestIdTable.local();
 
@@ -548,8 +551,8 @@
     }
 
     /**
-     * Closes the pool once its requests are answered and no attempt is in flight. Until then it still follows the
-     * server list, because retries must respect drains.
+     * Closes the pool once its requests are answered, long answers to their end, and no attempt is in flight. Until then
+     * it still follows the server list, because retries must respect drains.
      */
     void retire(Runnable then) {
         onClosed = then;
@@ -567,7 +570,7 @@
     }
 
     private void closeIfDone() {
-        if (onClosed != null && !closed && openRequests.isEmpty()) {
+        if (onClosed != null && !closed && openRequests.isEmpty() && openAnswerStreams == 0) {
             closed = true;
             if (discovery != null) {
                 discovery.close();
@@ -876,12 +879,8 @@
             passage.stop();
         } else {
             recordEnd(request, Entry.End.SERVED);
-            answers.streamed(
-                    passage,
-                    length,
-                    whole -> countEnd(
-                            request,
-                            whole ? ProcessMetrics.ClassMetrics::served : ProcessMetrics.ClassMetrics::failed));
+            openAnswerStreams++;
+            answers.streamed(passage, length, whole -> answerStreamEnded(request, whole));
         }
         runEvent(
                 request,
@@ -891,6 +890,12 @@
         settle(request);
     }
 
+    private void answerStreamEnded(OpenRequest request, boolean whole) {
+        openAnswerStreams--;
+        countEnd(request, whole ? ProcessMetrics.ClassMetrics::served : ProcessMetrics.ClassMetrics::failed);
+        closeIfDone();
+    }
+
     @Override
     public void attemptWritten(OpenRequest request) {
         if (operatorState != null) {
--- a/src/test/java/rushpin/net/ClientServerTest.java
+++ b/src/test/java/rushpin/net/ClientServerTest.java
@@ -25,6 +25,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import rushpin.gateway.Ports;
+import rushpin.gateway.Ports.RequestClass;
+import rushpin.gateway.Ports.Settings;
+import rushpin.membership.Names;
 
 /** Closing of client connections and failures of accepting, on real sockets; health requests need no pool. */
 @Timeout(120)
@@ -57,9 +61,19 @@
     private ClientServer server;
 
     private static final class HealthyNode implements ServerCallbacks {
+        private final Service pool;
+
+        /** Creates a node with the given pool; null for none. */
+        HealthyNode(Service pool) {
+            this.pool = pool;
+        }
+
         @Override
         public Destination route(HttpRequest head) throws RequestRejectedException {
-            throw RequestRejectedException.badRequest("there is no pool");
+            if (pool == null) {
+                throw RequestRejectedException.badRequest("there is no pool");
+            }
+            return new Destination(pool, null);
         }
 
         @Override
@@ -77,8 +91,12 @@
     }
 
     private void serve(int sockets) throws Exception {
+        serve(sockets, null);
+    }
+
+    private void serve(int sockets, Service pool) throws Exception {
         server = new ClientServer(
-                new HealthyNode(),
+                new HealthyNode(pool),
                 loop,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 sockets,
@@ -165,6 +183,85 @@
         assertAnswered(fresh, "on a new connection");
     }
 
+    /** A pool whose event loop has ended, as after a new configuration. */
+    private static final class EndedPool implements Service {
+        private final EventLoop ended;
+
+        EndedPool() throws InterruptedException {
+            EventLoopGroup ownGroup = new WatchedLoopGroup();
+            ended = ownGroup.next();
+            ownGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        }
+
+        @Override
+        public String name() {
+            return "ended";
+        }
+
+        @Override
+        public EventLoop loop() {
+            return ended;
+        }
+
+        @Override
+        public Names names() {
+            return new Names(List.of("order"), List.of("bulk"), List.of("z"), List.of("k"));
+        }
+
+        @Override
+        public Settings settings() {
+            RequestClass order =
+                    new RequestClass(IDLE_NANOS, IDLE_NANOS, Ports.Repeat.SAFE, Ports.Group.ALL, IDLE_NANOS, 0, 1);
+            return new Settings(
+                    0,
+                    1,
+                    0,
+                    1,
+                    false,
+                    List.of(),
+                    List.of(order),
+                    List.of(),
+                    new Ports.Limits(1, 1, false, false, 0, false),
+                    new Ports.Counter(false, 1, false, 8),
+                    new Ports.Rules(1, 0.5, 1, 2, 1));
+        }
+
+        @Override
+        public void take(OpenRequest request) {
+            throw new AssertionError("on an ended loop");
+        }
+
+        @Override
+        public void bodyReceived(OpenRequest request, long age) {
+            throw new AssertionError("on an ended loop");
+        }
+
+        @Override
+        public void limitDeadline(OpenRequest request, long latestNanos) {
+            throw new AssertionError("on an ended loop");
+        }
+
+        @Override
+        public void clientGone(OpenRequest request) {
+            throw new AssertionError("on an ended loop");
+        }
+    }
+
+    /** Guards against a request without an answer: its pool ended before it was handed over. */
+    @Test
+    void aRequestWhosePoolHasEndedIsRefused() throws Exception {
+        serve(MANY_SOCKETS, new EndedPool());
+        Socket client = connect();
+        client.getOutputStream()
+                .write(("GET /api HTTP/1.1\r\nHost: h\r\nX-Trace-Id: t-1\r\nX-Qos: order\r\nX-Plan: bulk\r\n"
+                                + "Cookie: customer=0000000000000007\r\nX-Expires-In-Ms: 2000\r\n"
+                                + "X-Quota: units=1,spread=1,first=0\r\n\r\n")
+                        .getBytes(StandardCharsets.UTF_8));
+        assertEquals("HTTP/1.1 503 Service Unavailable", readStatusLine(client));
+        sendRequest(client);
+        assertAnswered(client, "the next request on this connection");
+    }
+
     @Test
     void anIdleConnectionIsClosed() throws Exception {
         serve(MANY_SOCKETS);
--- a/src/test/java/rushpin/node/PoolsTest.java
+++ b/src/test/java/rushpin/node/PoolsTest.java
@@ -29,6 +29,9 @@
     @TempDir
     Path folder;
 
+    /** Long enough for a pool without requests to end after a reload. */
+    private static final int RETIRE_MS = 300;
+
     private final StringBuilder operatorFile = new StringBuilder();
 
     String loop() {
@@ -519,6 +522,62 @@
         assertEquals("a", ask(node, "a", "t-2").body());
     }
 
+    /** Guards against a long answer that is cut, its client not told, because its pool ends with a new configuration. */
+    @Test
+    void aLongAnswerUnderWayIsWholeThoughItsPoolIsReplaced() throws Exception {
+        CompletableFuture<Void> release = new CompletableFuture<>();
+        byte[] half = LongBodyTest.randomBytes(500_000, 1);
+        StubServer server = stubServer(m -> {
+            m.answer("HTTP/1.1 200 OK\r\nContent-Length: " + 2 * half.length + "\r\n\r\n");
+            m.socket().getOutputStream().write(half);
+            release.join();
+            m.socket().getOutputStream().write(half);
+        });
+        StubServer watched = pool("a", "", server);
+        EdgeNode node = startNode();
+        watched.next();
+        Socket client = client(node);
+        client.setSoTimeout(10_000);
+        order(client, "a", "t-1");
+        // Behind the head and a part of the body, so that the answer is under way.
+        assertEquals(100_000, client.getInputStream().readNBytes(100_000).length);
+        Path settingsFile = folder.resolve("a.json");
+        Files.writeString(
+                settingsFile, Files.readString(settingsFile).replace("\"max-attempts\": 6", "\"max-attempts\": 5"));
+        reload(node);
+        assertTrue(watched.next().startLine().contains("watch=1"), "a new pool a must watch");
+        TimeUnit.MILLISECONDS.sleep(RETIRE_MS);
+        release.complete(null);
+        assertEquals(2 * half.length - 100_000, client.getInputStream().readNBytes(2 * half.length - 100_000).length);
+        client.close();
+        assertNotNull(watched.closedConnections.poll(60, TimeUnit.SECONDS), "the old pool ends with its last answer");
+        assertNotNull(server.closedConnections.poll(60, TimeUnit.SECONDS), "its connections must be closed");
+    }
+
+    /** Guards against a retired pool that never ends because the client of its last long answer has left. */
+    @Test
+    void aReplacedPoolEndsWhenTheClientOfItsLastLongAnswerLeaves() throws Exception {
+        CompletableFuture<Void> testEnded = new CompletableFuture<>();
+        toClose.add(() -> testEnded.complete(null));
+        StubServer server = stubServer(m -> {
+            m.answer("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + "x".repeat(500_000));
+            testEnded.join();
+        });
+        StubServer watched = pool("a", "", server);
+        EdgeNode node = startNode();
+        watched.next();
+        Socket client = client(node);
+        order(client, "a", "t-1");
+        assertEquals(100_000, client.getInputStream().readNBytes(100_000).length);
+        Path settingsFile = folder.resolve("a.json");
+        Files.writeString(
+                settingsFile, Files.readString(settingsFile).replace("\"max-attempts\": 6", "\"max-attempts\": 5"));
+        reload(node);
+        assertTrue(watched.next().startLine().contains("watch=1"), "a new pool a must watch");
+        client.close();
+        assertNotNull(watched.closedConnections.poll(60, TimeUnit.SECONDS), "the old pool must end");
+    }
+
     @Test
     void manyReloadsUnderLoadLoseNoRequest() throws Exception {
         pool("a", "", named("a"));
