--- a/src/test/java/rushpin/net/KeyWindowTest.java
+++ b/src/test/java/rushpin/net/KeyWindowTest.java
@@ -58,17 +58,7 @@
 
     private BodyStream endedStream() throws Exception {
         return onLoop(() -> {
-            BodyStream rest = new BodyStream(
-                    loop,
-                    new BodyStream.Source() {
-                        @Override
-                        public void flow(boolean go) {}
-
-                        @Override
-                        public void stopped() {}
-                    },
-                    loop,
-                    new BodyStream.BufferBudget(Long.MAX_VALUE));
+            BodyStream rest = newBodyStream();
             rest.end(true);
             return rest;
         });
--- a/src/test/java/rushpin/net/LongRequestRetryTest.java
+++ b/src/test/java/rushpin/net/LongRequestRetryTest.java
@@ -34,17 +34,7 @@
     @BeforeEach
     void begin() throws Exception {
         start(new Bootstrap().group(loop).channel(NioSocketChannel.class));
-        rest = new BodyStream(
-                loop,
-                new BodyStream.Source() {
-                    @Override
-                    public void flow(boolean go) {}
-
-                    @Override
-                    public void stopped() {}
-                },
-                loop,
-                new BodyStream.BufferBudget(Long.MAX_VALUE));
+        rest = newBodyStream();
         request = new OpenRequest(
                 new Request("long", 0, 0, 1, System.nanoTime() + LONG, 1, 1, 0, false),
                 "c",
--- a/src/test/java/rushpin/net/ServerPoolTestBase.java
+++ b/src/test/java/rushpin/net/ServerPoolTestBase.java
@@ -85,6 +85,21 @@
         return next;
     }
 
+    /** Creates a stream of a body whose sender heeds nothing; to be used on the loop. */
+    BodyStream newBodyStream() {
+        return new BodyStream(
+                loop,
+                new BodyStream.Source() {
+                    @Override
+                    public void flow(boolean go) {}
+
+                    @Override
+                    public void stopped() {}
+                },
+                loop,
+                new BodyStream.BufferBudget(Long.MAX_VALUE));
+    }
+
     <T> T onLoop(Callable<T> work) throws Exception {
         return loop.submit(work).get(30, TimeUnit.SECONDS);
     }
--- a/src/test/java/rushpin/node/PoolsTest.java
+++ b/src/test/java/rushpin/node/PoolsTest.java
@@ -91,6 +91,15 @@
         node.reload(config, OperatorFile.parse(operatorFile.toString(), folder, config));
     }
 
+    /** Changes the settings of pool a and returns once the new one watches its discovery. */
+    private void replacePool(EdgeNode node, StubServer watched) throws Exception {
+        Path settingsFile = folder.resolve("a.json");
+        Files.writeString(
+                settingsFile, Files.readString(settingsFile).replace("\"max-attempts\": 6", "\"max-attempts\": 5"));
+        reload(node);
+        assertTrue(watched.next().startLine().contains("watch=1"), "a new pool a must watch");
+    }
+
     private static void order(Socket to, String pool, String id) throws IOException {
         Map<String, String> headers = headers(id, "order", "20000");
         headers.put("Host", pool + ".example");
@@ -541,11 +550,7 @@
         order(client, "a", "t-1");
         // Behind the head and a part of the body, so that the answer is under way.
         assertEquals(100_000, client.getInputStream().readNBytes(100_000).length);
-        Path settingsFile = folder.resolve("a.json");
-        Files.writeString(
-                settingsFile, Files.readString(settingsFile).replace("\"max-attempts\": 6", "\"max-attempts\": 5"));
-        reload(node);
-        assertTrue(watched.next().startLine().contains("watch=1"), "a new pool a must watch");
+        replacePool(node, watched);
         TimeUnit.MILLISECONDS.sleep(RETIRE_MS);
         release.complete(null);
         assertEquals(2 * half.length - 100_000, client.getInputStream().readNBytes(2 * half.length - 100_000).length);
@@ -569,11 +574,7 @@
         Socket client = client(node);
         order(client, "a", "t-1");
         assertEquals(100_000, client.getInputStream().readNBytes(100_000).length);
-        Path settingsFile = folder.resolve("a.json");
-        Files.writeString(
-                settingsFile, Files.readString(settingsFile).replace("\"max-attempts\": 6", "\"max-attempts\": 5"));
-        reload(node);
-        assertTrue(watched.next().startLine().contains("watch=1"), "a new pool a must watch");
+        replacePool(node, watched);
         client.close();
         assertNotNull(watched.closedConnections.poll(60, TimeUnit.SECONDS), "the old pool must end");
     }
